--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! Command line of hawthornpost for operators.
--- /dev/null
+++ b/crates/core/src/assembly.rs
@@ -0,0 +1,1 @@
+//! Assembly of one answer from the frames of several attempts.
--- /dev/null
+++ b/crates/core/src/backlog.rs
@@ -0,0 +1,1 @@
+//! Byte accounting of what is held for slow readers.
--- /dev/null
+++ b/crates/core/src/claim.rs
@@ -0,0 +1,1 @@
+//! Claims that make an action run at most once.
--- /dev/null
+++ b/crates/core/src/discovery.rs
@@ -0,0 +1,1 @@
+//! The entry addresses that callers are told to use.
--- /dev/null
+++ b/crates/core/src/error.rs
@@ -0,0 +1,99 @@
+//! The error type of the crate.
+
+use std::fmt;
+use std::result;
+
+/// The result of an operation of this crate.
+pub type Result<T> = result::Result<T, Error>;
+
+/// An error with the remedy in its message.
+pub struct Error {
+    kind: Box<Kind>,
+}
+
+/// What an error is about, so that an edge can choose a status code.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Category {
+    /// The input is malformed; the same input fails again.
+    Input,
+    /// Another writer was first.
+    Conflict,
+    /// The key or the handle does not give access.
+    Access,
+    /// There is no such thing.
+    Missing,
+    /// There is no room or no reachable part at present; a retry may succeed.
+    Unavailable,
+}
+
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Kind {
+    #[error("`{name}` is not a valid {kind} name; use 1 to 63 letters, digits, `-`, `_`, `.` or `:`")]
+    InvalidName { kind: &'static str, name: String },
+    #[error("not a valid id; pass the id exactly as it was returned")]
+    InvalidId { source: uuid::Error },
+    #[error("cannot read the file as INI: {source}; fix the line named in the message")]
+    Ini { source: ini::ParseError },
+    #[error("section [{section}], key `{key}`: `{value}` {problem}; {remedy}")]
+    Value {
+        section: String,
+        key: String,
+        value: String,
+        problem: String,
+        remedy: String,
+    },
+    #[error("section [{section}]: {problem}; {remedy}")]
+    Section {
+        section: String,
+        problem: String,
+        remedy: String,
+    },
+    #[expect(dead_code, reason = "used by the import of asset registers")]
+    #[error("asset register, line {line}: {problem}; {remedy}")]
+    Register { line: u64, problem: String, remedy: String },
+    #[error("a chunk has token ids and text offsets that do not match; check the engine's version")]
+    MalformedChunk,
+    #[expect(dead_code, reason = "used by the decoder of configuration chunks")]
+    #[error("the configuration cannot be decoded: {source}; apply it again from its source files")]
+    Decode { source: serde_json::Error },
+}
+
+impl Error {
+    /// Returns what the error is about.
+    pub fn category(&self) -> Category {
+        match *self.kind {
+            Kind::InvalidName { .. }
+            | Kind::InvalidId { .. }
+            | Kind::Ini { .. }
+            | Kind::Value { .. }
+            | Kind::Section { .. }
+            | Kind::MalformedChunk
+            | Kind::Register { .. }
+            | Kind::Decode { .. } => Category::Input,
+        }
+    }
+}
+
+impl From<Kind> for Error {
+    fn from(kind: Kind) -> Self {
+        Self { kind: Box::new(kind) }
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.kind, f)
+    }
+}
+
+impl fmt::Debug for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Debug::fmt(&self.kind, f)
+    }
+}
+
+impl std::error::Error for Error {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        std::error::Error::source(&*self.kind)
+    }
+}
--- /dev/null
+++ b/crates/core/src/generation.rs
@@ -0,0 +1,1 @@
+//! The life of one generation: attempts, silence detection, resume and release.
--- /dev/null
+++ b/crates/core/src/handle.rs
@@ -0,0 +1,1 @@
+//! Resume handles that callers keep.
--- /dev/null
+++ b/crates/core/src/lease.rs
@@ -0,0 +1,1 @@
+//! Timing rules of leases.
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,61 @@
+//! The decision core of hawthornpost: typed events in, typed commands out, time passed in.
+//!
+//! The crate does no I/O and reads no clock, so that the daemon, the model checker, the fuzzer and the measurements run
+//! the same code.
+//!
+//! | module | concern |
+//! |--------|---------|
+//! | [`assembly`] | one answer from the frames of several attempts |
+//! | [`backlog`] | bytes held for slow readers |
+//! | [`claim`] | actions that run at most once |
+//! | [`clock`] | time that is passed in |
+//! | [`config`] | whole configuration versions |
+//! | [`discovery`] | entry addresses for callers |
+//! | [`generation`] | attempts, silence, resume, release |
+//! | [`handle`] | resume handles |
+//! | [`id`] | names and numbers |
+//! | [`inventory`] | targets |
+//! | [`lease`] | timing of leases |
+//! | [`limit`] | room, shares, early refusal |
+//! | [`membership`] | live entry hosts |
+//! | [`order`] | orders to engines |
+//! | [`platform`] | objects of the platform API |
+//! | [`prefix`] | prefix caches of engines |
+//! | [`replica`] | copies held for peers |
+//! | [`retry`] | retry budgets |
+//! | [`rollout`] | moves between versions |
+//! | [`route`] | choice of target |
+//! | [`rules`] | accounts, models, services, rollouts |
+//! | [`settings`] | checked INI files |
+//! | [`tape`] | tokens of one generation |
+//! | [`timer`] | timer service |
+//! | [`wire`] | protocol bodies |
+
+pub mod assembly;
+pub mod backlog;
+pub mod claim;
+pub mod clock;
+pub mod config;
+pub mod discovery;
+mod error;
+pub mod generation;
+pub mod handle;
+pub mod id;
+pub mod inventory;
+pub mod lease;
+pub mod limit;
+pub mod membership;
+pub mod order;
+pub mod platform;
+pub mod prefix;
+pub mod replica;
+pub mod retry;
+pub mod rollout;
+pub mod route;
+pub mod rules;
+pub mod settings;
+pub mod tape;
+pub mod timer;
+pub mod wire;
+
+pub use error::{Category, Error, Result};
--- /dev/null
+++ b/crates/core/src/limit.rs
@@ -0,0 +1,1 @@
+//! Room per target in tokens, account shares and early refusal.
--- /dev/null
+++ b/crates/core/src/membership.rs
@@ -0,0 +1,1 @@
+//! Membership of entry hosts: probes, suspicion and incarnation numbers.
--- /dev/null
+++ b/crates/core/src/order.rs
@@ -0,0 +1,1 @@
+//! Orders to engines.
--- /dev/null
+++ b/crates/core/src/platform.rs
@@ -0,0 +1,1 @@
+//! Objects and call budget of the platform API.
--- /dev/null
+++ b/crates/core/src/prefix.rs
@@ -0,0 +1,1 @@
+//! Index of the prompt prefixes that engines hold in their caches.
--- /dev/null
+++ b/crates/core/src/replica.rs
@@ -0,0 +1,1 @@
+//! Copies of generations held for peers.
--- /dev/null
+++ b/crates/core/src/retry.rs
@@ -0,0 +1,1 @@
+//! Retry budgets.
--- /dev/null
+++ b/crates/core/src/rollout.rs
@@ -0,0 +1,1 @@
+//! Moves of traffic between versions: evidence, allowed share and verdicts.
--- /dev/null
+++ b/crates/core/src/route.rs
@@ -0,0 +1,1 @@
+//! Choice of the target for a request.
--- /dev/null
+++ b/crates/core/src/tape.rs
@@ -0,0 +1,1 @@
+//! Compact storage of the tokens of one generation.
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! Daemon of hawthornpost: kernel, plug-ins, edges.
--- /dev/null
+++ b/crates/lab/src/experiment.rs
@@ -0,0 +1,92 @@
+//! Experiments and their results.
+
+use std::io;
+use std::path::Path;
+
+use linkme::distributed_slice;
+
+/// All experiments; modules add themselves.
+#[distributed_slice]
+pub static EXPERIMENTS: [Experiment];
+
+/// One experiment of the tool.
+#[derive(Clone, Copy, Debug)]
+pub struct Experiment {
+    /// The name on the command line.
+    pub name: &'static str,
+    /// One line that says what is measured.
+    pub summary: &'static str,
+    /// Runs the experiment with this many seeds, starting at the first one.
+    pub run: fn(&Options) -> Table,
+}
+
+/// What the command line passes to an experiment.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The first seed.
+    pub seed: u64,
+    /// The number of seeds.
+    pub seeds: u64,
+}
+
+/// A table of results; every cell is text with its unit in the column's title.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Table {
+    /// The titles of the columns, with units.
+    pub columns: Vec<String>,
+    /// The rows.
+    pub rows: Vec<Vec<String>>,
+}
+
+impl Table {
+    /// Creates a table without rows.
+    pub fn new(columns: impl IntoIterator<Item = impl Into<String>>) -> Self {
+        Self {
+            columns: columns.into_iter().map(Into::into).collect(),
+            rows: Vec::new(),
+        }
+    }
+
+    /// Adds a row.
+    pub fn push(&mut self, row: impl IntoIterator<Item = impl Into<String>>) {
+        self.rows.push(row.into_iter().map(Into::into).collect());
+    }
+
+    /// Writes the table as CSV.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file cannot be written.
+    pub fn write_csv(&self, path: &Path) -> Result<(), csv::Error> {
+        let mut writer = csv::Writer::from_path(path)?;
+        writer.write_record(&self.columns)?;
+        for row in &self.rows {
+            writer.write_record(row)?;
+        }
+        writer.flush().map_err(csv::Error::from)
+    }
+
+    /// Prints the table with aligned columns.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the output cannot be written.
+    pub fn print(&self, mut output: impl io::Write) -> io::Result<()> {
+        let widths = self.widths();
+        for row in std::iter::once(&self.columns).chain(&self.rows) {
+            let cells = row.iter().zip(&widths).map(|(cell, width)| format!("{cell:>width$}"));
+            writeln!(output, "{}", cells.collect::<Vec<_>>().join("  "))?;
+        }
+        Ok(())
+    }
+
+    fn widths(&self) -> Vec<usize> {
+        let width = |column: usize| {
+            let cells = std::iter::once(&self.columns)
+                .chain(&self.rows)
+                .filter_map(|row| row.get(column));
+            cells.map(|cell| cell.chars().count()).max().unwrap_or(0)
+        };
+        (0..self.columns.len()).map(width).collect()
+    }
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,7 @@
+//! Load and measurement tool of hawthornpost.
+//!
+//! Every experiment is a module that registers itself in [`EXPERIMENTS`], prints a table and can write it as CSV.
+
+pub mod experiment;
+
+pub use experiment::{EXPERIMENTS, Experiment};
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the systems that hawthornpost talks to; for tests only.
