Add the daemon: kernel, plug-ins, servers and clients

The kernel runs one loop on one thread. Plug-ins, HTTP routes and peer methods register themselves in linkme slices, so that a part is added without touching a central list.

Ruled out: handlers that share state with jsonrpsee directly, because it wants Send handlers and the state is not Send; they pass messages instead.

--- /dev/null
+++ b/crates/daemon/src/access.rs
@@ -0,0 +1,59 @@
+//! Who may call what.
+
+use hawthornpost_core::id::Account;
+use hyper::HeaderMap;
+use hyper::header::AUTHORIZATION;
+
+use crate::configuration::Current;
+use crate::error::{Kind, Result};
+use crate::kernel::Context;
+
+/// Who may call a route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Access {
+    /// Anybody.
+    Open,
+    /// A client account of the configuration.
+    Account,
+    /// An operator of the settings.
+    Operator,
+}
+
+/// Checks the key of a request and returns the account that it belongs to.
+///
+/// # Errors
+///
+/// Fails when the key is missing or not known.
+pub fn check(context: &Context, access: Access, headers: &HeaderMap) -> Result<Option<Account>> {
+    match access {
+        Access::Open => Ok(None),
+        Access::Account => account(context, headers).map(Some),
+        Access::Operator => operator(context, headers).map(|()| None),
+    }
+}
+
+fn account(context: &Context, headers: &HeaderMap) -> Result<Account> {
+    let hash = key_hash(headers)?;
+    let document = context.part::<Current>().document();
+    let (name, _) = document.rules.account_by_key_hash(&hash).ok_or(Kind::Unauthorized)?;
+    Ok(name.clone())
+}
+
+fn operator(context: &Context, headers: &HeaderMap) -> Result<()> {
+    let hash = key_hash(headers)?;
+    // Every stored hash is compared, so that the time does not tell which one matched.
+    let known = context.settings().operators.key_hashes.iter();
+    let matches = known.filter(|stored| **stored == hash).count();
+    if matches == 0 {
+        return Err(Kind::Unauthorized.into());
+    }
+    Ok(())
+}
+
+fn key_hash(headers: &HeaderMap) -> Result<blake3::Hash> {
+    let value = headers.get(AUTHORIZATION).and_then(|value| value.to_str().ok());
+    let key = value
+        .and_then(|text| text.strip_prefix("Bearer "))
+        .ok_or(Kind::Unauthorized)?;
+    Ok(blake3::hash(key.trim().as_bytes()))
+}
--- /dev/null
+++ b/crates/daemon/src/completions.rs
@@ -0,0 +1,244 @@
+//! Generations for callers, in the convention of the OpenAI completions API.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use hawthornpost_core::id::{Attempt, Model, Request, Version};
+use hawthornpost_core::wire::{Completion, Finish, Frame, Generate, REQUEST_HEADER};
+use http_body_util::Either;
+use http_body_util::channel::{Channel, Sender};
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Method, Response};
+use linkme::distributed_slice;
+use serde_json::json;
+
+use crate::access::Access;
+use crate::configuration::Current;
+use crate::engine::{Event, Stream};
+use crate::error::{Error, Result};
+use crate::http::{self, Body, Call, ROUTES, Route};
+use crate::kernel::{Context, Phase};
+use crate::routing::Routing;
+
+/// The number of events that wait for a slow caller before the engine's stream is no longer read.
+const QUEUE_EVENTS: usize = 64;
+
+#[distributed_slice(ROUTES)]
+static COMPLETIONS: Route = Route {
+    method: || Method::POST,
+    path: "/v1/completions",
+    access: Access::Account,
+    handle: |context, call| Box::pin(complete(context, call)),
+};
+
+#[distributed_slice(ROUTES)]
+static MODELS: Route = Route {
+    method: || Method::GET,
+    path: "/v1/models",
+    access: Access::Account,
+    handle: |context, _| Box::pin(async move { Ok(models(&context)) }),
+};
+
+/// The generation of one request.
+struct Generation {
+    context: Rc<Context>,
+    generate: Generate,
+    next: u32,
+}
+
+async fn complete(context: Rc<Context>, call: Call) -> Result<Response<Body>> {
+    if context.phase() >= Phase::Draining {
+        let lifetime = context.settings().limits.address_lifetime;
+        return Err(Error::unavailable(
+            "this entry host is leaving; ask another one",
+            lifetime,
+        ));
+    }
+    let completion = call.json::<Completion>(&context).await?;
+    let generate = prepare(&context, &completion)?;
+    let request = generate.request_id;
+    let generation = Generation {
+        context,
+        generate,
+        next: 0,
+    };
+    let mut response = if completion.stream {
+        stream(generation)
+    } else {
+        whole(generation).await?
+    };
+    if let Ok(id) = HeaderValue::from_str(&request.to_string()) {
+        response.headers_mut().insert(REQUEST_HEADER, id);
+    }
+    Ok(response)
+}
+
+fn prepare(context: &Context, completion: &Completion) -> Result<Generate> {
+    let document = context.part::<Current>().document();
+    let rule = document.rules.models.get(&completion.model);
+    let rule = rule.ok_or_else(|| unknown_model(&completion.model))?;
+    Ok(Generate {
+        model: completion.model.clone(),
+        version: rule.version.clone(),
+        prompt: completion.prompt.clone(),
+        max_tokens: completion.max_tokens.unwrap_or(rule.max_tokens).min(rule.max_tokens),
+        stream: true,
+        request_id: Request::from_random(rand::random()),
+        attempt: Attempt::first(0),
+        priority: completion.priority.unwrap_or(5),
+        temperature: completion.temperature,
+        resume_tokens: Vec::new(),
+    })
+}
+
+fn unknown_model(model: &Model) -> Error {
+    Error::not_found(format!("model {model}"), "choose one that GET /v1/models lists")
+}
+
+fn stream(mut generation: Generation) -> Response<Body> {
+    let (sender, body) = Channel::<Bytes, Infallible>::new(QUEUE_EVENTS);
+    let work = generation.context.begin_work();
+    tokio::task::spawn_local(async move {
+        let mut output = Output::Stream(sender);
+        if let Err(error) = generation.run(&mut output).await {
+            output.fail(&error).await;
+        }
+        drop(work);
+    });
+    let mut response = Response::new(Either::Right(body));
+    let event_stream = HeaderValue::from_static("text/event-stream");
+    response.headers_mut().insert(CONTENT_TYPE, event_stream);
+    response
+}
+
+async fn whole(mut generation: Generation) -> Result<Response<Body>> {
+    let mut output = Output::Whole(String::new());
+    let finish = generation.run(&mut output).await?;
+    let Output::Whole(text) = output else {
+        return Err(Error::failed("the answer was streamed", "report this as a fault"));
+    };
+    Ok(http::json(&json!({
+        "id": generation.generate.request_id,
+        "object": "text_completion",
+        "model": generation.generate.model,
+        "choices": [{ "index": 0, "text": text, "finish_reason": finish }],
+    })))
+}
+
+impl Generation {
+    /// Runs attempts until the answer is whole.
+    async fn run(&mut self, output: &mut Output) -> Result<Finish> {
+        let routing = self.context.part::<Routing>();
+        let mut tried = Vec::new();
+        loop {
+            let (model, version) = (&self.generate.model, &self.generate.version);
+            let choice = routing
+                .engine(model, version, &tried)
+                .ok_or_else(|| no_engine(model, version))?;
+            tried.push(choice.target.clone());
+            match self.attempt(choice.address, output).await {
+                Ok(finish) => return Ok(finish),
+                Err(error) => log::warn!("attempt at {} failed: {error}", choice.target),
+            }
+            self.generate.attempt = self.generate.attempt.next();
+        }
+    }
+
+    async fn attempt(&mut self, address: std::net::SocketAddr, output: &mut Output) -> Result<Finish> {
+        let mut stream = Stream::start(address, &self.generate).await?;
+        while let Some(Event::Frame(frame)) = stream.next().await? {
+            if let Some(finish) = self.accept(frame, output).await? {
+                return Ok(finish);
+            }
+        }
+        Err(Error::failed(
+            "the engine's stream ended early",
+            "another engine is tried",
+        ))
+    }
+
+    async fn accept(&mut self, frame: Frame, output: &mut Output) -> Result<Option<Finish>> {
+        if frame.id != self.generate.request_id || frame.attempt != self.generate.attempt || frame.first != self.next {
+            return Ok(None);
+        }
+        let finish = frame.finish;
+        for token in frame.tokens {
+            output.token(&self.generate, self.next, &token.text).await?;
+            self.generate.resume_tokens.push(token.id);
+            self.next += 1;
+        }
+        if finish.is_some() {
+            output.finish(&self.generate, finish).await?;
+        }
+        Ok(finish)
+    }
+}
+
+/// Where the tokens of an answer go.
+enum Output {
+    Stream(Sender<Bytes, Infallible>),
+    Whole(String),
+}
+
+impl Output {
+    async fn token(&mut self, generate: &Generate, index: u32, text: &str) -> Result<()> {
+        match self {
+            Self::Whole(whole) => {
+                whole.push_str(text);
+                Ok(())
+            }
+            Self::Stream(sender) => send(sender, format!("id: {index}\n{}", chunk(generate, text, None))).await,
+        }
+    }
+
+    async fn finish(&mut self, generate: &Generate, finish: Option<Finish>) -> Result<()> {
+        match self {
+            Self::Whole(_) => Ok(()),
+            Self::Stream(sender) => send(sender, format!("{}data: [DONE]\n\n", chunk(generate, "", finish))).await,
+        }
+    }
+
+    async fn fail(&mut self, error: &Error) {
+        log::warn!("a generation failed: {error}");
+        if let Self::Stream(sender) = self {
+            let problem = json!({ "error": { "message": error.to_string(), "type": "server_error" } });
+            if send(sender, format!("event: error\ndata: {problem}\n\n"))
+                .await
+                .is_err()
+            {
+                log::debug!("the caller is gone");
+            }
+        }
+    }
+}
+
+fn chunk(generate: &Generate, text: &str, finish: Option<Finish>) -> String {
+    let chunk = json!({
+        "id": generate.request_id,
+        "object": "text_completion",
+        "model": generate.model,
+        "choices": [{ "index": 0, "text": text, "finish_reason": finish }],
+    });
+    format!("data: {chunk}\n\n")
+}
+
+async fn send(sender: &mut Sender<Bytes, Infallible>, event: String) -> Result<()> {
+    let sent = sender.send_data(Bytes::from(event)).await;
+    sent.map_err(|_closed| Error::failed("the caller closed the connection", "resume with the handle"))
+}
+
+fn no_engine(model: &Model, version: &Version) -> Error {
+    let detail = format!("no engine of {model} {version} is left");
+    Error::failed(detail, "send the request again, or add engines to the inventory")
+}
+
+fn models(context: &Context) -> Response<Body> {
+    let document = context.part::<Current>().document();
+    let list = document
+        .rules
+        .models
+        .keys()
+        .map(|model| json!({ "id": model, "object": "model" }));
+    http::json(&json!({ "object": "list", "data": list.collect::<Vec<_>>() }))
+}
--- /dev/null
+++ b/crates/daemon/src/error.rs
@@ -0,0 +1,148 @@
+//! The error type of the daemon.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use hyper::StatusCode;
+
+/// The result of an operation of the daemon.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// An error with the remedy in its message.
+pub struct Error {
+    kind: Box<Kind>,
+}
+
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Kind {
+    #[error("{0}")]
+    Core(#[from] hawthornpost_core::Error),
+    #[error("cannot read {path}: {source}; check the path and its permissions", path = path.display())]
+    ReadFile { path: PathBuf, source: std::io::Error },
+    #[error("cannot listen on {address}: {source}; choose a free address in the settings")]
+    Listen {
+        address: SocketAddr,
+        source: std::io::Error,
+    },
+    #[error("cannot set up logging: {source}; check the [log] section of the settings")]
+    Logging { source: log::SetLoggerError },
+    #[error("cannot start the runtime: {source}; check the limits of the process")]
+    Runtime { source: std::io::Error },
+    #[error("no connection to {address}: {source}; check that the process runs and the address is right")]
+    Connect {
+        address: SocketAddr,
+        source: std::io::Error,
+    },
+    #[error("connection to {address} failed: {source}; the call may be repeated on a new connection")]
+    Transport { address: SocketAddr, source: hyper::Error },
+    #[error("no answer from {address} within {limit:?}; check its load and the network")]
+    Timeout { address: SocketAddr, limit: Duration },
+    #[error("{address} answered with status {status}: {detail}; see the log of that process")]
+    Status {
+        address: SocketAddr,
+        status: StatusCode,
+        detail: String,
+    },
+    #[error("{address} sent a body that cannot be decoded: {source}; check its version")]
+    Decode {
+        address: SocketAddr,
+        source: serde_json::Error,
+    },
+    #[error("peer {address} cannot be called: {source}; check that it runs and has the same peer key")]
+    Peer {
+        address: SocketAddr,
+        source: jsonrpsee::core::client::Error,
+    },
+    #[error("the request cannot be read: {detail}; {remedy}")]
+    BadRequest { detail: String, remedy: String },
+    #[error("the request body is larger than {limit} bytes; send a shorter one")]
+    TooLarge { limit: usize },
+    #[error("the request body did not arrive within {limit:?}; send it at once")]
+    SlowBody { limit: Duration },
+    #[error("the key is missing or not known; send `Authorization: Bearer KEY` with a key of this deployment")]
+    Unauthorized,
+    #[error("there is no {what}; {remedy}")]
+    NotFound { what: String, remedy: String },
+    #[error("the method is not allowed here; use {allowed}")]
+    Method { allowed: String },
+    #[error("{detail}; {remedy}")]
+    Conflict { detail: String, remedy: String },
+    #[error("{detail}; retry after {retry_after:?}")]
+    Unavailable { detail: String, retry_after: Duration },
+    #[error("{detail}; {remedy}")]
+    Failed { detail: String, remedy: String },
+}
+
+impl Error {
+    pub(crate) fn kind(&self) -> &Kind {
+        &self.kind
+    }
+
+    /// Builds an error about a malformed request.
+    pub fn bad_request(detail: impl fmt::Display, remedy: impl Into<String>) -> Self {
+        Self::from(Kind::BadRequest {
+            detail: detail.to_string(),
+            remedy: remedy.into(),
+        })
+    }
+
+    /// Builds an error about a thing that does not exist.
+    pub fn not_found(what: impl Into<String>, remedy: impl Into<String>) -> Self {
+        Self::from(Kind::NotFound {
+            what: what.into(),
+            remedy: remedy.into(),
+        })
+    }
+
+    /// Builds an error about a clash with another request or writer.
+    pub fn conflict(detail: impl Into<String>, remedy: impl Into<String>) -> Self {
+        Self::from(Kind::Conflict {
+            detail: detail.into(),
+            remedy: remedy.into(),
+        })
+    }
+
+    /// Builds an error about work that is refused for now.
+    pub fn unavailable(detail: impl Into<String>, retry_after: Duration) -> Self {
+        Self::from(Kind::Unavailable {
+            detail: detail.into(),
+            retry_after,
+        })
+    }
+
+    /// Builds an error about work that failed and is not repeated.
+    pub fn failed(detail: impl Into<String>, remedy: impl Into<String>) -> Self {
+        Self::from(Kind::Failed {
+            detail: detail.into(),
+            remedy: remedy.into(),
+        })
+    }
+}
+
+impl<K: Into<Kind>> From<K> for Error {
+    fn from(kind: K) -> Self {
+        Self {
+            kind: Box::new(kind.into()),
+        }
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.kind, f)
+    }
+}
+
+impl fmt::Debug for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Debug::fmt(&self.kind, f)
+    }
+}
+
+impl std::error::Error for Error {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        std::error::Error::source(&*self.kind)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/http.rs
@@ -0,0 +1,304 @@
+//! Server for callers and operators.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::future::LocalBoxFuture;
+use hawthornpost_core::id::Account;
+use http_body_util::channel::Channel;
+use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use linkme::distributed_slice;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::access::{self, Access};
+use crate::error::{Error, Kind, Result};
+use crate::kernel::{Context, Phase};
+use crate::plugin::{PLUGINS, Plugin, Stage};
+use crate::problem::Problem;
+
+/// All routes; plug-ins add theirs.
+#[distributed_slice]
+pub static ROUTES: [Route];
+
+/// The largest request head in bytes; larger ones are refused with status 431.
+const MAX_HEAD_BYTES: usize = 16 << 10;
+/// How long the listener pauses after it failed to accept, for example without free file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// The body of a response: a whole one or a stream.
+pub type Body = Either<Full<Bytes>, Channel<Bytes, Infallible>>;
+
+/// The future of a handler.
+pub type Handled = LocalBoxFuture<'static, Result<Response<Body>>>;
+
+/// A path and what answers it.
+#[derive(Clone, Copy, Debug)]
+pub struct Route {
+    /// The method.
+    pub method: fn() -> Method,
+    /// The path, with parameters as `{name}` and a last `{*rest}`.
+    pub path: &'static str,
+    /// Who may call.
+    pub access: Access,
+    /// Answers the call.
+    pub handle: fn(Rc<Context>, Call) -> Handled,
+}
+
+/// A call that was let in.
+#[derive(Debug)]
+pub struct Call {
+    /// The request.
+    pub request: Request<Incoming>,
+    /// The parameters of the path.
+    pub parameters: Vec<(String, String)>,
+    /// The account, for routes with [`Access::Account`].
+    pub account: Option<Account>,
+}
+
+impl Call {
+    /// Returns a parameter of the path, or an empty text when the route has none of this name.
+    pub fn parameter(&self, name: &str) -> &str {
+        let found = self.parameters.iter().find(|(key, _)| key == name);
+        found.map_or("", |(_, value)| value.as_str())
+    }
+
+    /// Returns a header as text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.request.headers().get(name).and_then(|value| value.to_str().ok())
+    }
+
+    /// Returns the account of the caller.
+    ///
+    /// # Errors
+    ///
+    /// Fails on routes that do not ask for an account.
+    pub fn account(&self) -> Result<&Account> {
+        self.account.as_ref().ok_or_else(|| Kind::Unauthorized.into())
+    }
+
+    /// Reads the whole body within the bounds of the settings.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the body is too large, too slow or the connection breaks.
+    pub async fn body(self, context: &Context) -> Result<Bytes> {
+        let limits = &context.settings().limits;
+        let body = Limited::new(self.request.into_body(), limits.body_bytes).collect();
+        let Some(result) = context.timer().limit(limits.body_timeout, body).await else {
+            return Err(Kind::SlowBody {
+                limit: limits.body_timeout,
+            }
+            .into());
+        };
+        match result {
+            Ok(collected) => Ok(collected.to_bytes()),
+            Err(error) if error.is::<LengthLimitError>() => Err(Kind::TooLarge {
+                limit: limits.body_bytes,
+            }
+            .into()),
+            Err(error) => Err(Error::bad_request(error, "send the whole body")),
+        }
+    }
+
+    /// Reads and decodes a JSON body.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Call::body`], and with line and column when the body is not the expected JSON.
+    pub async fn json<T: DeserializeOwned>(self, context: &Context) -> Result<T> {
+        let body = self.body(context).await?;
+        serde_json::from_slice(&body).map_err(|source| Error::bad_request(source, "correct the JSON at that place"))
+    }
+}
+
+/// Builds a body that is known as a whole.
+pub fn full(bytes: impl Into<Bytes>) -> Body {
+    Either::Left(Full::new(bytes.into()))
+}
+
+/// Builds a JSON response.
+pub fn json(value: &impl Serialize) -> Response<Body> {
+    let text = serde_json::to_vec(value).unwrap_or_default();
+    let mut response = Response::new(full(text));
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, json);
+    response
+}
+
+#[distributed_slice(PLUGINS)]
+static HTTP: Plugin = Plugin {
+    name: "http",
+    stage: Stage::Server,
+    start,
+};
+
+/// Routes by path; each path has one route a method.
+struct Router {
+    paths: matchit::Router<Vec<&'static Route>>,
+}
+
+impl Router {
+    fn new() -> Self {
+        let mut paths = matchit::Router::new();
+        let mut sorted = ROUTES.iter().collect::<Vec<_>>();
+        sorted.sort_by_key(|route| route.path);
+        for same_path in sorted.chunk_by(|left, right| left.path == right.path) {
+            // Two plug-ins with overlapping patterns are a fault in the program.
+            paths
+                .insert(same_path[0].path, same_path.to_vec())
+                .unwrap_or_else(|error| panic!("route {}: {error}", same_path[0].path));
+        }
+        Self { paths }
+    }
+
+    fn find(&self, method: &Method, path: &str) -> Result<(&'static Route, Vec<(String, String)>)> {
+        let matched = self
+            .paths
+            .at(path)
+            .map_err(|_no_match| Error::not_found(format!("path {path}"), "see the paths in docs/operators.md"))?;
+        let route = matched.value.iter().find(|route| (route.method)() == *method);
+        let Some(route) = route else {
+            let allowed = matched.value.iter().map(|route| (route.method)().to_string());
+            return Err(Kind::Method {
+                allowed: allowed.collect::<Vec<_>>().join(", "),
+            }
+            .into());
+        };
+        let parameters = matched
+            .params
+            .iter()
+            .map(|(key, value)| (key.to_owned(), value.to_owned()));
+        Ok((route, parameters.collect()))
+    }
+}
+
+fn start(context: &Rc<Context>) -> Result<()> {
+    let listener = listen(context.settings().entry.listen)?;
+    let context = Rc::clone(context);
+    tokio::task::spawn_local(accept(context, listener));
+    Ok(())
+}
+
+/// Opens a listening socket.
+///
+/// # Errors
+///
+/// Fails when the address cannot be used.
+pub fn listen(address: SocketAddr) -> Result<TcpListener> {
+    let open = || {
+        let listener = std::net::TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        TcpListener::from_std(listener)
+    };
+    open().map_err(|source| Kind::Listen { address, source }.into())
+}
+
+async fn accept(context: Rc<Context>, listener: TcpListener) {
+    let router = Rc::new(Router::new());
+    let open = Arc::new(tokio::sync::Semaphore::new(context.settings().limits.connections));
+    loop {
+        // A connection beyond the bound waits in the listener's queue.
+        let Ok(permit) = Arc::clone(&open).acquire_owned().await else {
+            return;
+        };
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let (context, router) = (Rc::clone(&context), Rc::clone(&router));
+                tokio::task::spawn_local(async move {
+                    serve(context, router, stream).await;
+                    drop(permit);
+                });
+            }
+            Err(error) => {
+                log::warn!("cannot accept a connection: {error}");
+                context.timer().sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(context: Rc<Context>, router: Rc<Router>, stream: TcpStream) {
+    // A token is a small write; waiting to fill a packet would delay it.
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("cannot set TCP_NODELAY: {error}");
+    }
+    let header_timeout = context.settings().limits.header_timeout;
+    let mut phase = context.watch_phase();
+    let service = service_fn(move |request| {
+        let (context, router) = (Rc::clone(&context), Rc::clone(&router));
+        async move { Ok::<_, Infallible>(answer(context, &router, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(header_timeout)
+        .max_buf_size(MAX_HEAD_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        _ = phase.wait_for(|phase| *phase >= Phase::Draining) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = result {
+        log::debug!("connection of a caller ended: {error}");
+    }
+}
+
+async fn answer(context: Rc<Context>, router: &Router, request: Request<Incoming>) -> Response<Body> {
+    match dispatch(context, router, request).await {
+        Ok(response) => response,
+        Err(error) => Problem::new(&error).into_response(),
+    }
+}
+
+async fn dispatch(context: Rc<Context>, router: &Router, request: Request<Incoming>) -> Result<Response<Body>> {
+    let (route, parameters) = router.find(request.method(), request.uri().path())?;
+    let account = access::check(&context, route.access, request.headers())?;
+    let call = Call {
+        request,
+        parameters,
+        account,
+    };
+    let _work = context.begin_work();
+    (route.handle)(Rc::clone(&context), call).await
+}
+
+#[distributed_slice(ROUTES)]
+static HEALTH: Route = Route {
+    method: || Method::GET,
+    path: "/healthz",
+    access: Access::Open,
+    handle: |_, _| Box::pin(async { Ok(Response::new(full("ok\n"))) }),
+};
+
+#[distributed_slice(ROUTES)]
+static READY: Route = Route {
+    method: || Method::GET,
+    path: "/readyz",
+    access: Access::Open,
+    handle: |context, _| Box::pin(async move { Ok(ready(&context)) }),
+};
+
+fn ready(context: &Context) -> Response<Body> {
+    let configured = context.part::<crate::configuration::Current>().version() > 0;
+    if configured && context.phase() == Phase::Running {
+        return Response::new(full("ready\n"));
+    }
+    let mut response = Response::new(full("not ready\n"));
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    response
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,44 @@
-//! Daemon of hawthornpost: kernel, plug-ins, edges.
+//! Daemon of hawthornpost: kernel, plug-ins and edges.
+//!
+//! | module | concern |
+//! |--------|---------|
+//! | [`access`] | who may call what |
+//! | [`admin`] | operators' endpoints |
+//! | [`client`] | HTTP client with a connection per call |
+//! | [`completions`] | generations for callers |
+//! | [`configuration`] | the configuration in force |
+//! | [`engine`] | client of the engines' protocol |
+//! | [`entries`] | entry addresses for callers |
+//! | [`http`] | server for callers and operators |
+//! | [`kernel`] | the loop, the context and the phases of a run |
+//! | [`logging`] | log output |
+//! | [`peer`] | calls between entry hosts |
+//! | [`platform`] | client of the platform API |
+//! | [`plugin`] | plug-ins that register themselves |
+//! | [`problem`] | errors as problem details |
+//! | [`routing`] | choice of target |
+//! | [`services`] | plain services for callers |
+//! | [`settings`] | settings of the daemon |
+//! | [`timer`] | the timer service, driven by the clock |
+
+pub mod access;
+pub mod admin;
+pub mod client;
+pub mod completions;
+pub mod configuration;
+pub mod engine;
+pub mod entries;
+mod error;
+pub mod http;
+pub mod kernel;
+pub mod logging;
+pub mod peer;
+pub mod platform;
+pub mod plugin;
+pub mod problem;
+pub mod routing;
+pub mod services;
+pub mod settings;
+pub mod timer;
+
+pub use error::{Error, Result};
--- /dev/null
+++ b/crates/daemon/src/platform.rs
@@ -0,0 +1,161 @@
+//! Client of the platform's object API.
+
+use std::rc::Rc;
+
+use hyper::{Method, StatusCode};
+use linkme::distributed_slice;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::client;
+use crate::error::{Error, Result};
+use crate::kernel::Context;
+use crate::plugin::{PLUGINS, Plugin, Stage};
+
+/// The path of our kinds of object.
+const ROOT: &str = "/apis/hawthornpost.dev/v1";
+
+/// An object of the platform.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Object {
+    /// The name and version.
+    pub metadata: Metadata,
+    /// The content.
+    #[serde(default)]
+    pub spec: Value,
+    /// The state that the system reports.
+    #[serde(default, skip_serializing_if = "Value::is_null")]
+    pub status: Value,
+}
+
+/// The name and version of an object.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Metadata {
+    /// The name.
+    pub name: String,
+    /// The version; empty on creation.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub resource_version: String,
+}
+
+/// What a conditional write did.
+#[derive(Clone, Debug)]
+pub enum Written {
+    /// The write took effect; the object has its new version.
+    Done(Object),
+    /// Another write was first, or the object exists already.
+    Conflict,
+}
+
+/// Calls the platform.
+#[derive(Debug)]
+pub struct Client {
+    context: Rc<Context>,
+}
+
+#[derive(Deserialize)]
+struct List {
+    items: Vec<Object>,
+}
+
+impl Client {
+    /// Reads an object.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer.
+    pub async fn get(&self, plural: &str, name: &str) -> Result<Option<Object>> {
+        let (status, body) = self
+            .exchange(Method::GET, &format!("{ROOT}/{plural}/{name}"), None)
+            .await?;
+        match status {
+            StatusCode::NOT_FOUND => Ok(None),
+            StatusCode::OK => client::decode(self.address(), &body).map(Some),
+            status => Err(self.refused(status, &body)),
+        }
+    }
+
+    /// Reads all objects of a kind.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer.
+    pub async fn list(&self, plural: &str) -> Result<Vec<Object>> {
+        let (status, body) = self.exchange(Method::GET, &format!("{ROOT}/{plural}"), None).await?;
+        if status != StatusCode::OK {
+            return Err(self.refused(status, &body));
+        }
+        client::decode::<List>(self.address(), &body).map(|list| list.items)
+    }
+
+    /// Creates an object.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer; the object may have been created all the same.
+    pub async fn create(&self, plural: &str, object: &Object) -> Result<Written> {
+        self.write(Method::POST, &format!("{ROOT}/{plural}"), object).await
+    }
+
+    /// Replaces an object if it still has the version that `object` names.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer; the object may have been replaced all the same.
+    pub async fn update(&self, plural: &str, object: &Object) -> Result<Written> {
+        self.write(
+            Method::PUT,
+            &format!("{ROOT}/{plural}/{}", object.metadata.name),
+            object,
+        )
+        .await
+    }
+
+    async fn write(&self, method: Method, path: &str, object: &Object) -> Result<Written> {
+        let (status, body) = self.exchange(method, path, Some(object)).await?;
+        match status {
+            StatusCode::OK | StatusCode::CREATED => client::decode(self.address(), &body).map(Written::Done),
+            StatusCode::CONFLICT => Ok(Written::Conflict),
+            status => Err(self.refused(status, &body)),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        method: Method,
+        path: &str,
+        object: Option<&Object>,
+    ) -> Result<(StatusCode, bytes::Bytes)> {
+        let request = match object {
+            Some(object) => client::json_request(method, path, object),
+            None => client::request(method, path),
+        };
+        let limit = self.context.settings().platform.timeout;
+        client::exchange(self.context.timer(), limit, self.address(), request).await
+    }
+
+    fn refused(&self, status: StatusCode, body: &[u8]) -> Error {
+        client::status_error(self.address(), status, body)
+    }
+
+    fn address(&self) -> std::net::SocketAddr {
+        self.context.settings().platform.address
+    }
+}
+
+#[distributed_slice(PLUGINS)]
+static PLATFORM: Plugin = Plugin {
+    name: "platform",
+    stage: Stage::Edge,
+    start,
+};
+
+#[expect(clippy::unnecessary_wraps, reason = "the signature of all plug-ins")]
+fn start(context: &Rc<Context>) -> Result<()> {
+    let client = Client {
+        context: Rc::clone(context),
+    };
+    context.provide(Rc::new(client));
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/settings.rs
@@ -0,0 +1,323 @@
+//! Settings of the daemon, read from an INI file and checked at start.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::str::FromStr;
+use std::time::Duration;
+
+use hawthornpost_core::id::{DataCentre, Entry, Region};
+use hawthornpost_core::settings::{File, Section};
+
+use crate::error::{Kind, Result};
+
+/// All settings of one daemon.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Who the daemon is and where it listens.
+    pub entry: EntrySettings,
+    /// How the platform is reached.
+    pub platform: PlatformSettings,
+    /// How other entry hosts are reached.
+    pub peers: PeerSettings,
+    /// Who may operate the daemon.
+    pub operators: OperatorSettings,
+    /// Where the log goes.
+    pub log: LogSettings,
+    /// Bounds and time limits.
+    pub limits: LimitSettings,
+}
+
+/// Section `[entry]`.
+#[derive(Clone, Debug)]
+pub struct EntrySettings {
+    /// The name of the entry host, unique in the deployment.
+    pub name: Entry,
+    /// The data centre that it stands in.
+    pub data_centre: DataCentre,
+    /// The region of the data centre.
+    pub region: Region,
+    /// The address for callers and operators.
+    pub listen: SocketAddr,
+    /// The address that callers are told to use; `listen` by default.
+    pub advertise: SocketAddr,
+}
+
+/// Section `[platform]`.
+#[derive(Clone, Debug)]
+pub struct PlatformSettings {
+    /// The address of the platform's object API.
+    pub address: SocketAddr,
+    /// The time limit of one call.
+    pub timeout: Duration,
+    /// How often the configuration is polled.
+    pub poll: Duration,
+}
+
+/// Section `[peers]`.
+#[derive(Clone, Debug)]
+pub struct PeerSettings {
+    /// The address for calls of other entry hosts.
+    pub listen: SocketAddr,
+    /// Addresses of other entry hosts that are asked at start.
+    pub seeds: Vec<SocketAddr>,
+    /// The key that all entry hosts of the deployment share.
+    pub key: Secret,
+    /// The time limit of one call.
+    pub timeout: Duration,
+}
+
+/// Section `[operators]`.
+#[derive(Clone, Debug)]
+pub struct OperatorSettings {
+    /// The `blake3` hashes of the operators' keys.
+    pub key_hashes: Vec<blake3::Hash>,
+}
+
+/// Section `[log]`.
+#[derive(Clone, Debug)]
+pub struct LogSettings {
+    /// The lowest level that is written.
+    pub level: log::LevelFilter,
+    /// The form of a line.
+    pub format: LogFormat,
+    /// The file that lines are appended to; standard error when missing.
+    pub file: Option<PathBuf>,
+}
+
+/// The form of a log line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogFormat {
+    /// Plain text.
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// Section `[limits]`.
+#[derive(Clone, Debug)]
+pub struct LimitSettings {
+    /// The largest request body in bytes.
+    pub body_bytes: usize,
+    /// The time within which request headers have to arrive.
+    pub header_timeout: Duration,
+    /// The time within which a request body has to arrive.
+    pub body_timeout: Duration,
+    /// The time a write to a caller may take without progress.
+    pub write_timeout: Duration,
+    /// The bytes held for one caller before its source is slowed.
+    pub stream_bytes: usize,
+    /// The bytes held for all callers of the process.
+    pub process_bytes: usize,
+    /// The time a generation is kept for a caller that went away.
+    pub caller_grace: Duration,
+    /// How long callers may keep an entry address.
+    pub address_lifetime: Duration,
+    /// How long a leaving daemon lets running streams finish before it hands them over.
+    pub drain_limit: Duration,
+    /// The number of connections from callers that are open at the same time.
+    pub connections: usize,
+}
+
+/// A secret that is never printed.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Secret(String);
+
+impl Secret {
+    /// Returns the secret itself.
+    pub fn expose(&self) -> &str {
+        &self.0
+    }
+
+    /// Compares with a text in constant time.
+    pub fn matches(&self, text: &str) -> bool {
+        // `blake3::Hash` compares in constant time.
+        blake3::hash(self.0.as_bytes()) == blake3::hash(text.as_bytes())
+    }
+}
+
+impl FromStr for Secret {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> std::result::Result<Self, Self::Err> {
+        if text.len() < 16 {
+            return Err("shorter than 16 bytes");
+        }
+        Ok(Self(text.to_owned()))
+    }
+}
+
+impl std::fmt::Debug for Secret {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Secret(..)")
+    }
+}
+
+impl FromStr for LogFormat {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> std::result::Result<Self, Self::Err> {
+        match text {
+            "text" => Ok(Self::Text),
+            "json" => Ok(Self::Json),
+            _ => Err("unknown format"),
+        }
+    }
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file cannot be read, and with section, key, value and remedy when a setting is malformed.
+    pub fn load(path: &Path) -> Result<Self> {
+        let text = std::fs::read_to_string(path).map_err(|source| Kind::ReadFile {
+            path: path.to_owned(),
+            source,
+        })?;
+        Self::parse(&text)
+    }
+
+    /// Checks the text of a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Fails with section, key, value and remedy when a setting is malformed.
+    pub fn parse(text: &str) -> Result<Self> {
+        let file = File::parse(text).map_err(Kind::Core)?;
+        let settings = Self {
+            entry: entry(file.section("entry").map_err(Kind::Core)?)?,
+            platform: platform(file.section("platform").map_err(Kind::Core)?)?,
+            peers: peers(file.section("peers").map_err(Kind::Core)?)?,
+            operators: operators(file.section("operators").map_err(Kind::Core)?)?,
+            log: log_settings(file.section("log").ok())?,
+            limits: limits(file.section("limits").ok())?,
+        };
+        let known = ["entry", "platform", "peers", "operators", "log", "limits"];
+        for section in file.sections() {
+            if !known.contains(&section.name()) {
+                let remedy = format!("use one of: {}", known.join(", "));
+                return Err(Kind::Core(section.error("", "", "is not a known section", &remedy)).into());
+            }
+        }
+        Ok(settings)
+    }
+}
+
+const ADDRESS: &str = "an address such as 127.0.0.1:7101";
+
+fn entry(mut section: Section<'_>) -> Result<EntrySettings> {
+    let listen = section.required("listen", ADDRESS).map_err(Kind::Core)?;
+    let settings = EntrySettings {
+        name: section
+            .required("name", "a name that is unique in the deployment")
+            .map_err(Kind::Core)?,
+        data_centre: section
+            .required("data_centre", "the name of a data centre")
+            .map_err(Kind::Core)?,
+        region: section.required("region", "the name of a region").map_err(Kind::Core)?,
+        listen,
+        advertise: section.default("advertise", ADDRESS, listen).map_err(Kind::Core)?,
+    };
+    section.finish().map_err(Kind::Core)?;
+    Ok(settings)
+}
+
+fn platform(mut section: Section<'_>) -> Result<PlatformSettings> {
+    let settings = PlatformSettings {
+        address: section.required("address", ADDRESS).map_err(Kind::Core)?,
+        timeout: section.millis("timeout_ms", 1000, 10..=60_000).map_err(Kind::Core)?,
+        poll: section.millis("poll_ms", 10_000, 100..=600_000).map_err(Kind::Core)?,
+    };
+    section.finish().map_err(Kind::Core)?;
+    Ok(settings)
+}
+
+fn peers(mut section: Section<'_>) -> Result<PeerSettings> {
+    let settings = PeerSettings {
+        listen: section.required("listen", ADDRESS).map_err(Kind::Core)?,
+        seeds: section
+            .list("seeds", "addresses such as 127.0.0.1:7201")
+            .map_err(Kind::Core)?,
+        key: section
+            .required("key", "a secret of at least 16 bytes")
+            .map_err(Kind::Core)?,
+        timeout: section.millis("timeout_ms", 500, 10..=60_000).map_err(Kind::Core)?,
+    };
+    section.finish().map_err(Kind::Core)?;
+    Ok(settings)
+}
+
+fn operators(mut section: Section<'_>) -> Result<OperatorSettings> {
+    let hashes = section
+        .list::<String>("key_hashes", "blake3 hashes of 64 hexadecimal digits")
+        .map_err(Kind::Core)?;
+    let parse = |text: &String| {
+        blake3::Hash::from_hex(text).map_err(|source| {
+            let problem = format!("is not a blake3 hash ({source})");
+            Kind::Core(section.error("key_hashes", text, &problem, "list hashes of 64 hexadecimal digits"))
+        })
+    };
+    let key_hashes = hashes.iter().map(parse).collect::<std::result::Result<_, _>>()?;
+    section.finish().map_err(Kind::Core)?;
+    Ok(OperatorSettings { key_hashes })
+}
+
+fn log_settings(section: Option<Section<'_>>) -> Result<LogSettings> {
+    let mut settings = LogSettings {
+        level: log::LevelFilter::Info,
+        format: LogFormat::Text,
+        file: None,
+    };
+    let Some(mut section) = section else {
+        return Ok(settings);
+    };
+    settings.level = section
+        .default("level", "off, error, warn, info, debug or trace", settings.level)
+        .map_err(Kind::Core)?;
+    settings.format = section
+        .default("format", "text or json", settings.format)
+        .map_err(Kind::Core)?;
+    settings.file = section.optional("file", "a path").map_err(Kind::Core)?;
+    section.finish().map_err(Kind::Core)?;
+    Ok(settings)
+}
+
+fn limits(section: Option<Section<'_>>) -> Result<LimitSettings> {
+    let empty = File::parse("[limits]\n").map_err(Kind::Core)?;
+    let mut section = match section {
+        Some(section) => section,
+        None => empty.section("limits").map_err(Kind::Core)?,
+    };
+    let settings = LimitSettings {
+        body_bytes: bytes(&mut section, "body_bytes", 1 << 20)?,
+        header_timeout: section
+            .millis("header_timeout_ms", 5_000, 100..=60_000)
+            .map_err(Kind::Core)?,
+        body_timeout: section
+            .millis("body_timeout_ms", 10_000, 100..=600_000)
+            .map_err(Kind::Core)?,
+        write_timeout: section
+            .millis("write_timeout_ms", 30_000, 100..=600_000)
+            .map_err(Kind::Core)?,
+        stream_bytes: bytes(&mut section, "stream_bytes", 256 << 10)?,
+        process_bytes: bytes(&mut section, "process_bytes", 64 << 20)?,
+        caller_grace: section
+            .millis("caller_grace_ms", 30_000, 0..=3_600_000)
+            .map_err(Kind::Core)?,
+        address_lifetime: section
+            .millis("address_lifetime_ms", 10_000, 100..=600_000)
+            .map_err(Kind::Core)?,
+        drain_limit: section
+            .millis("drain_limit_ms", 600_000, 0..=86_400_000)
+            .map_err(Kind::Core)?,
+        connections: bytes(&mut section, "connections", 20_000)?,
+    };
+    section.finish().map_err(Kind::Core)?;
+    Ok(settings)
+}
+
+fn bytes<'a>(section: &mut Section<'a>, key: &'a str, default: u64) -> Result<usize> {
+    let value = section.number(key, default, 1..=1 << 32).map_err(Kind::Core)?;
+    Ok(usize::try_from(value).unwrap_or(usize::MAX))
+}
