Add membership, rollout and routing interfaces and the support of process tests

The parts of the daemon are replaced side by side; the types through which they meet are fixed first.

--- a/crates/daemon/src/completions.rs
+++ b/crates/daemon/src/completions.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use hawthornpost_core::id::{Attempt, Model, Request, Version};
+use hawthornpost_core::id::{Account, Attempt, Model, Request, Target};
 use hawthornpost_core::wire::{Completion, Finish, Frame, Generate, REQUEST_HEADER};
 use http_body_util::Either;
 use http_body_util::channel::{Channel, Sender};
@@ -19,7 +19,8 @@
 use crate::error::{Error, Result};
 use crate::http::{self, Body, Call, ROUTES, Route};
 use crate::kernel::{Context, Phase};
-use crate::routing::Routing;
+use crate::rollouts::Rollouts;
+use crate::routing::{Query, Routing};
 
 /// The number of events that wait for a slow caller before the engine's stream is no longer read.
 const QUEUE_EVENTS: usize = 64;
@@ -43,6 +44,7 @@
 /// The generation of one request.
 struct Generation {
     context: Rc<Context>,
+    account: Account,
     generate: Generate,
     next: u32,
 }
@@ -55,11 +57,13 @@
             lifetime,
         ));
     }
+    let account = call.account()?.clone();
     let completion = call.json::<Completion>(&context).await?;
     let generate = prepare(&context, &completion)?;
     let request = generate.request_id;
     let generation = Generation {
         context,
+        account,
         generate,
         next: 0,
     };
@@ -78,13 +82,15 @@
     let document = context.part::<Current>().document();
     let rule = document.rules.models.get(&completion.model);
     let rule = rule.ok_or_else(|| unknown_model(&completion.model))?;
+    let request_id = Request::from_random(rand::random());
+    let version = context.part::<Rollouts>().version(&completion.model, request_id);
     Ok(Generate {
         model: completion.model.clone(),
-        version: rule.version.clone(),
+        version: version.ok_or_else(|| unknown_model(&completion.model))?,
         prompt: completion.prompt.clone(),
         max_tokens: completion.max_tokens.unwrap_or(rule.max_tokens).min(rule.max_tokens),
         stream: true,
-        request_id: Request::from_random(rand::random()),
+        request_id,
         attempt: Attempt::first(0),
         priority: completion.priority.unwrap_or(5),
         temperature: completion.temperature,
@@ -132,10 +138,7 @@
         let routing = self.context.part::<Routing>();
         let mut tried = Vec::new();
         loop {
-            let (model, version) = (&self.generate.model, &self.generate.version);
-            let choice = routing
-                .engine(model, version, &tried)
-                .ok_or_else(|| no_engine(model, version))?;
+            let choice = routing.engine(&self.query(&tried))?;
             tried.push(choice.target.clone());
             match self.attempt(choice.address, output).await {
                 Ok(finish) => return Ok(finish),
@@ -145,6 +148,19 @@
         }
     }
 
+    fn query<'a>(&'a self, tried: &'a [Target]) -> Query<'a> {
+        Query {
+            account: &self.account,
+            model: &self.generate.model,
+            version: &self.generate.version,
+            prompt: &self.generate.prompt,
+            resumed_tokens: self.next,
+            max_tokens: self.generate.max_tokens,
+            priority: self.generate.priority,
+            tried,
+        }
+    }
+
     async fn attempt(&mut self, address: std::net::SocketAddr, output: &mut Output) -> Result<Finish> {
         let mut stream = Stream::start(address, &self.generate).await?;
         while let Some(Event::Frame(frame)) = stream.next().await? {
@@ -228,11 +244,6 @@
     sent.map_err(|_closed| Error::failed("the caller closed the connection", "resume with the handle"))
 }
 
-fn no_engine(model: &Model, version: &Version) -> Error {
-    let detail = format!("no engine of {model} {version} is left");
-    Error::failed(detail, "send the request again, or add engines to the inventory")
-}
-
 fn models(context: &Context) -> Response<Body> {
     let document = context.part::<Current>().document();
     let list = document
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,10 +12,12 @@
 //! | [`http`] | server for callers and operators |
 //! | [`kernel`] | the loop, the context and the phases of a run |
 //! | [`logging`] | log output |
+//! | [`members`] | live entry hosts |
 //! | [`peer`] | calls between entry hosts |
 //! | [`platform`] | client of the platform API |
 //! | [`plugin`] | plug-ins that register themselves |
 //! | [`problem`] | errors as problem details |
+//! | [`rollouts`] | version for a request, evidence |
 //! | [`routing`] | choice of target |
 //! | [`services`] | plain services for callers |
 //! | [`settings`] | settings of the daemon |
@@ -32,10 +34,12 @@
 pub mod http;
 pub mod kernel;
 pub mod logging;
+pub mod members;
 pub mod peer;
 pub mod platform;
 pub mod plugin;
 pub mod problem;
+pub mod rollouts;
 pub mod routing;
 pub mod services;
 pub mod settings;
--- a/crates/daemon/src/routing.rs
+++ b/crates/daemon/src/routing.rs
@@ -4,17 +4,42 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
-use hawthornpost_core::id::{Model, Service, Target, Version};
+use hawthornpost_core::id::{Account, Model, Service, Target, Version};
 use hawthornpost_core::inventory::Item;
 use linkme::distributed_slice;
 use serde_json::json;
 
 use crate::configuration::Current;
-use crate::error::Result;
+use crate::error::{Error, Result};
 use crate::kernel::Context;
 use crate::plugin::{PLUGINS, Plugin, Stage};
 
+/// When a caller should come back after no target was left.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// What an engine is wanted for.
+#[derive(Clone, Copy, Debug)]
+pub struct Query<'a> {
+    /// The account of the request.
+    pub account: &'a Account,
+    /// The model.
+    pub model: &'a Model,
+    /// The version that the request is pinned to.
+    pub version: &'a Version,
+    /// The prompt.
+    pub prompt: &'a str,
+    /// The tokens that were generated already and have to be computed again.
+    pub resumed_tokens: u32,
+    /// The largest number of tokens of the answer.
+    pub max_tokens: u32,
+    /// The priority from 0 to 9.
+    pub priority: u8,
+    /// The engines that are not to be chosen again.
+    pub tried: &'a [Target],
+}
+
 /// Chooses targets and counts the requests that this daemon has at each.
 #[derive(Debug)]
 pub struct Routing {
@@ -33,16 +58,26 @@
 }
 
 impl Routing {
-    /// Chooses an engine for a model and version, other than those in `tried`.
-    pub fn engine(&self, model: &Model, version: &Version, tried: &[Target]) -> Option<Choice> {
+    /// Chooses an engine and charges the request to it.
+    ///
+    /// # Errors
+    ///
+    /// Fails with a time to retry when no engine of the version has room, and without one when none is left.
+    pub fn engine(&self, query: &Query<'_>) -> Result<Choice> {
         let document = self.context.part::<Current>().document();
-        self.least_loaded(document.inventory.engines(model, version), tried)
+        let engines = document.inventory.engines(query.model, query.version);
+        self.least_loaded(engines, query.tried).ok_or_else(|| no_engine(query))
     }
 
     /// Chooses an instance of a plain service, other than those in `tried`.
-    pub fn instance(&self, service: &Service, tried: &[Target]) -> Option<Choice> {
+    ///
+    /// # Errors
+    ///
+    /// Fails with a time to retry when no instance is left.
+    pub fn instance(&self, service: &Service, tried: &[Target]) -> Result<Choice> {
         let document = self.context.part::<Current>().document();
         self.least_loaded(document.inventory.instances(service), tried)
+            .ok_or_else(|| Error::unavailable(format!("no target of {service} is left"), RETRY_AFTER))
     }
 
     fn least_loaded<'a>(
@@ -63,6 +98,11 @@
     }
 }
 
+fn no_engine(query: &Query<'_>) -> Error {
+    let detail = format!("no engine of {} {} is left", query.model, query.version);
+    Error::unavailable(detail, RETRY_AFTER)
+}
+
 impl Drop for Choice {
     fn drop(&mut self) {
         let mut outstanding = self.outstanding.borrow_mut();
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -94,8 +94,7 @@
     limit: Duration,
     mut request: hyper::Request<http_body_util::Full<bytes::Bytes>>,
 ) -> Result<Response<Body>> {
-    let choice = context.part::<Routing>().instance(service, &[]);
-    let choice = choice.ok_or_else(|| Error::unavailable(format!("no target of {service}"), Duration::from_secs(1)))?;
+    let choice = context.part::<Routing>().instance(service, &[])?;
     let id = Request::from_random(rand::random()).to_string();
     if let Ok(value) = HeaderValue::from_str(&id) {
         request.headers_mut().insert(REQUEST_HEADER, value);
--- /dev/null
+++ b/crates/daemon/tests/support/mod.rs
@@ -0,0 +1,408 @@
+//! Deployments of real daemons and in-process stand-ins on loopback, for the process tests.
+#![allow(dead_code, reason = "every test file uses another part of the support")]
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
+
+use bytes::{Buf, Bytes, BytesMut};
+use hawthornpost_daemon::client;
+use hawthornpost_daemon::timer::Timer;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::header::{AUTHORIZATION, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use serde_json::{Value, json};
+use tempfile::TempDir;
+use tokio::task::LocalSet;
+
+/// The key of the account `crews`.
+pub const ACCOUNT_KEY: &str = "key-of-the-crews-account";
+/// The key of the account `letters`.
+pub const OTHER_KEY: &str = "key-of-the-letters-account";
+/// The key of the operators.
+pub const OPERATOR_KEY: &str = "key-of-the-operators";
+/// The key that all entry hosts of a test share.
+pub const PEER_KEY: &str = "peer-key-of-the-tests";
+/// The model that the engines of a test serve.
+pub const MODEL: &str = "reports";
+
+/// No step of a test may take longer; a test that reaches it has failed, however busy the machine is.
+pub const STEP_LIMIT: Duration = Duration::from_secs(60);
+const POLL: Duration = Duration::from_millis(20);
+
+/// Runs a test on one thread, as the daemon does.
+pub fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let limited = async { tokio::time::timeout(STEP_LIMIT * 2, test).await.expect("the test ends in time") };
+    LocalSet::new().block_on(&runtime, limited);
+}
+
+/// A range of loopback addresses of its own for each deployment, so that tests never share a port.
+#[derive(Clone, Copy, Debug)]
+pub struct Network {
+    prefix: [u8; 3],
+}
+
+impl Network {
+    /// Takes a range that no other test of this machine uses at the same time.
+    pub fn new() -> Self {
+        static NEXT: AtomicU8 = AtomicU8::new(0);
+        let process = std::process::id();
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        // 127.0.0.0/24 is left to other programs.
+        Self {
+            prefix: [127, 1 + (process % 250) as u8, (process / 250 % 8) as u8 * 32 + number % 32],
+        }
+    }
+
+    /// Returns an address of the range.
+    pub fn address(self, host: u8, port: u16) -> SocketAddr {
+        let [a, b, c] = self.prefix;
+        SocketAddr::new(IpAddr::V4(Ipv4Addr::new(a, b, c, host)), port)
+    }
+
+    /// Returns the address of the platform.
+    pub fn platform(self) -> SocketAddr {
+        self.address(1, 7001)
+    }
+
+    /// Returns the address of an engine.
+    pub fn engine(self, index: u8) -> SocketAddr {
+        self.address(20 + index, 8001)
+    }
+
+    /// Returns the address of an instance of the booking service.
+    pub fn service(self, index: u8) -> SocketAddr {
+        self.address(60 + index, 8101)
+    }
+
+    /// Returns the address of an entry host for callers.
+    pub fn entry(self, index: u8) -> SocketAddr {
+        self.address(100 + index, 7101)
+    }
+
+    /// Returns the address of an entry host for peers.
+    pub fn peer(self, index: u8) -> SocketAddr {
+        self.address(100 + index, 7201)
+    }
+}
+
+/// Builds the configuration document of a test: `engines` engines of version v1 and one booking service.
+pub fn document(network: Network, version: u64, engines: u8) -> Value {
+    let mut inventory = serde_json::Map::new();
+    for index in 0..engines {
+        inventory.insert(format!("engine-{index}"), engine_item(network, index, "v1"));
+    }
+    inventory.insert(
+        "booking-0".to_owned(),
+        json!({
+            "address": network.service(0),
+            "data_centre": "dc0",
+            "version": "v1",
+            "role": { "role": "service", "service": "booking", "status_lookup": true },
+        }),
+    );
+    json!({
+        "version": version,
+        "inventory": inventory,
+        "rules": {
+            "accounts": {
+                "crews": { "key_hash": key_hash(ACCOUNT_KEY), "priority": 5, "share": 10 },
+                "letters": { "key_hash": key_hash(OTHER_KEY), "priority": 5, "share": 10 },
+            },
+            "models": { MODEL: { "version": "v1", "max_tokens": 4000 } },
+            "services": { "booking": { "timeout_ms": 5000 } },
+            "rollouts": {},
+        },
+    })
+}
+
+/// Builds the inventory item of an engine.
+pub fn engine_item(network: Network, index: u8, version: &str) -> Value {
+    json!({
+        "address": network.engine(index),
+        "data_centre": format!("dc{}", index % 3),
+        "version": version,
+        "role": { "role": "engine", "model": MODEL, "capacity_tokens": 200_000, "fencing": "checked" },
+    })
+}
+
+/// Returns the `blake3` hash of a key in hexadecimal digits.
+pub fn key_hash(key: &str) -> String {
+    blake3::hash(key.as_bytes()).to_hex().to_string()
+}
+
+/// A daemon in a process of its own; dropping it kills the process.
+#[derive(Debug)]
+pub struct Daemon {
+    /// The address for callers and operators.
+    pub address: SocketAddr,
+    child: Child,
+    _directory: TempDir,
+}
+
+impl Daemon {
+    /// Starts the entry host with this index; `peers` is the number of entry hosts of the deployment and `extra` is
+    /// added to the settings.
+    pub fn start(network: Network, index: u8, peers: u8, extra: &str) -> Self {
+        let directory = tempfile::tempdir().expect("a directory");
+        let path = directory.path().join("hawthornpostd.ini");
+        std::fs::write(&path, settings(network, index, peers, extra)).expect("the settings are written");
+        let child = Command::new(env!("CARGO_BIN_EXE_hawthornpostd"))
+            .arg("--config")
+            .arg(&path)
+            .stdin(Stdio::null())
+            .spawn()
+            .expect("the daemon starts");
+        Self {
+            address: network.entry(index),
+            child,
+            _directory: directory,
+        }
+    }
+
+    /// Waits until the daemon has a configuration and answers.
+    pub async fn ready(&self) {
+        wait_for("the daemon to be ready", async || {
+            let answer = get(self.address, "/readyz", None).await;
+            answer.is_ok_and(|(status, _)| status == StatusCode::OK)
+        })
+        .await;
+    }
+
+    /// Stops the process without warning, as a failed host does.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("the daemon is killed");
+        self.child.wait().expect("the daemon has ended");
+    }
+
+    /// Asks the process to shut down.
+    pub fn terminate(&self) {
+        self.signal(Signal::SIGTERM);
+    }
+
+    /// Pauses the process.
+    pub fn freeze(&self) {
+        self.signal(Signal::SIGSTOP);
+    }
+
+    /// Continues a paused process.
+    pub fn thaw(&self) {
+        self.signal(Signal::SIGCONT);
+    }
+
+    /// Returns whether the process has ended, and whether it ended well.
+    pub fn ended(&mut self) -> Option<bool> {
+        let status = self.child.try_wait().expect("the state of the daemon");
+        status.map(|status| status.success())
+    }
+
+    /// Reads an operators' endpoint.
+    pub async fn admin(&self, path: &str) -> Value {
+        let (status, body) = get(self.address, path, Some(OPERATOR_KEY)).await.expect("an answer");
+        assert_eq!(status, StatusCode::OK, "{}", String::from_utf8_lossy(&body));
+        serde_json::from_slice(&body).expect("JSON")
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = i32::try_from(self.child.id()).expect("a pid");
+        kill(Pid::from_raw(pid), signal).expect("the signal is sent");
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        // The process may have ended already.
+        if self.child.kill().is_ok() {
+            self.child.wait().ok();
+        }
+    }
+}
+
+fn settings(network: Network, index: u8, peers: u8, extra: &str) -> String {
+    let seeds = (0..peers).filter(|peer| *peer != index).map(|peer| network.peer(peer).to_string());
+    format!(
+        "[entry]\nname = entry-{index}\ndata_centre = dc{}\nregion = test\nlisten = {}\n\
+         [platform]\naddress = {}\npoll_ms = 200\n\
+         [peers]\nlisten = {}\nseeds = {}\nkey = {PEER_KEY}\n\
+         [operators]\nkey_hashes = {}\n\
+         [log]\nlevel = warn\n{extra}",
+        index % 3,
+        network.entry(index),
+        network.platform(),
+        network.peer(index),
+        seeds.collect::<Vec<_>>().join(", "),
+        key_hash(OPERATOR_KEY),
+    )
+}
+
+/// Waits until a condition holds.
+pub async fn wait_for(what: &str, mut condition: impl AsyncFnMut() -> bool) {
+    let end = tokio::time::Instant::now() + STEP_LIMIT;
+    while !condition().await {
+        assert!(tokio::time::Instant::now() < end, "waited too long for {what}");
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+/// Builds a caller's request.
+pub fn request(method: Method, path: &str, key: Option<&str>, body: impl Into<Bytes>) -> Request<Full<Bytes>> {
+    let mut request = client::with_body(method, path, body);
+    if let Some(key) = key {
+        let value = HeaderValue::from_str(&format!("Bearer {key}")).expect("a header value");
+        request.headers_mut().insert(AUTHORIZATION, value);
+    }
+    request
+}
+
+/// Sends a request and reads the whole answer.
+pub async fn send(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> hawthornpost_daemon::Result<(StatusCode, Bytes)> {
+    // The timer service is not driven here; `run` bounds the whole test.
+    let _unused = Timer::new();
+    let response = client::open(address, request).await?;
+    let status = response.status();
+    let body = response.into_body().collect().await.expect("a whole body");
+    Ok((status, body.to_bytes()))
+}
+
+/// Reads a path.
+pub async fn get(
+    address: SocketAddr,
+    path: &str,
+    key: Option<&str>,
+) -> hawthornpost_daemon::Result<(StatusCode, Bytes)> {
+    send(address, request(Method::GET, path, key, Bytes::new())).await
+}
+
+/// Builds the body of a streamed generation.
+pub fn completion(prompt: &str, max_tokens: u32) -> Bytes {
+    let body = json!({ "model": MODEL, "prompt": prompt, "max_tokens": max_tokens, "stream": true });
+    Bytes::from(body.to_string())
+}
+
+/// A caller that reads a streamed answer.
+#[derive(Debug)]
+pub struct Caller {
+    /// The text so far.
+    pub text: String,
+    /// The index of the last token.
+    pub last: Option<u32>,
+    /// The resume handle of the newest response.
+    pub handle: Option<String>,
+    /// Whether the answer is whole.
+    pub done: bool,
+    /// The error event, if one came.
+    pub error: Option<String>,
+    body: Incoming,
+    buffer: BytesMut,
+}
+
+impl Caller {
+    /// Starts a generation.
+    pub async fn start(address: SocketAddr, key: &str, prompt: &str, max_tokens: u32) -> Self {
+        let request = request(Method::POST, "/v1/completions", Some(key), completion(prompt, max_tokens));
+        let response = client::open(address, request).await.expect("a response");
+        assert_eq!(response.status(), StatusCode::OK);
+        Self::new(response)
+    }
+
+    /// Goes on at another entry host with the handle and the index of the last token.
+    pub async fn resume(&mut self, address: SocketAddr, key: &str) -> StatusCode {
+        let mut request = request(Method::POST, "/v1/completions/resume", Some(key), Bytes::new());
+        let handle = self.handle.as_deref().expect("a handle");
+        let headers = request.headers_mut();
+        headers.insert("hawthornpost-resume", HeaderValue::from_str(handle).expect("a header value"));
+        if let Some(last) = self.last {
+            headers.insert("last-event-id", HeaderValue::from(last));
+        }
+        let Ok(response) = client::open(address, request).await else {
+            return StatusCode::BAD_GATEWAY;
+        };
+        let status = response.status();
+        if status == StatusCode::OK {
+            let resumed = Self::new(response);
+            self.handle = resumed.handle.or(self.handle.take());
+            self.body = resumed.body;
+            self.buffer = resumed.buffer;
+        }
+        status
+    }
+
+    /// Reads one event and returns whether there was one; the end of the connection is no event.
+    pub async fn next(&mut self) -> bool {
+        loop {
+            if let Some(event) = self.take_event() {
+                self.read_event(&event);
+                return true;
+            }
+            match self.body.frame().await {
+                Some(Ok(frame)) => {
+                    if let Some(data) = frame.data_ref() {
+                        self.buffer.extend_from_slice(data);
+                    }
+                }
+                Some(Err(_)) | None => return false,
+            }
+        }
+    }
+
+    /// Reads until the answer has at least this many tokens.
+    pub async fn read_tokens(&mut self, count: u32) {
+        while self.last.is_none_or(|last| last + 1 < count) {
+            assert!(self.next().await, "the stream ended after {:?}", self.last);
+        }
+    }
+
+    /// Reads to the end of the connection.
+    pub async fn read_all(&mut self) {
+        while self.next().await {}
+    }
+
+    fn new(response: Response<Incoming>) -> Self {
+        let handle = response.headers().get("hawthornpost-resume");
+        Self {
+            text: String::new(),
+            last: None,
+            handle: handle.map(|value| value.to_str().expect("a text").to_owned()),
+            done: false,
+            error: None,
+            body: response.into_body(),
+            buffer: BytesMut::new(),
+        }
+    }
+
+    fn take_event(&mut self) -> Option<String> {
+        let end = self.buffer.windows(2).position(|pair| pair == b"\n\n")?;
+        let event = self.buffer.split_to(end);
+        self.buffer.advance(2);
+        Some(String::from_utf8(event.to_vec()).expect("UTF-8"))
+    }
+
+    fn read_event(&mut self, event: &str) {
+        let field = |name: &str| event.lines().find_map(|line| line.strip_prefix(name)).map(str::trim);
+        let data = field("data:").unwrap_or_default();
+        if data == "[DONE]" {
+            self.done = true;
+            return;
+        }
+        if field("event:") == Some("error") {
+            self.error = Some(data.to_owned());
+            return;
+        }
+        let Some(index) = field("id:") else {
+            return;
+        };
+        let index = index.parse().expect("an index");
+        assert_eq!(index, self.last.map_or(0, |last| last + 1), "a token is missing or repeated");
+        let chunk = serde_json::from_str::<Value>(data).expect("JSON");
+        self.text.push_str(chunk["choices"][0]["text"].as_str().expect("a text"));
+        self.last = Some(index);
+    }
+}
