Prove the thin path with real processes

One generation streams through an entry host to an engine and is verified token by token, one booking reaches the service exactly once, one lookup is answered and the status names the configuration version.

--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -7,8 +7,9 @@
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
+use hawthornpost_core::id::{Model, Version};
 use hawthornpost_daemon::client;
-use hawthornpost_daemon::timer::Timer;
+use hawthornpost_standins::{Handle, engine, platform, service};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, HeaderValue};
@@ -36,8 +37,15 @@
 
 /// Runs a test on one thread, as the daemon does.
 pub fn run(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    let limited = async { tokio::time::timeout(STEP_LIMIT * 2, test).await.expect("the test ends in time") };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    let limited = async {
+        tokio::time::timeout(STEP_LIMIT * 2, test)
+            .await
+            .expect("the test ends in time");
+    };
     LocalSet::new().block_on(&runtime, limited);
 }
 
@@ -55,7 +63,11 @@
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
         // 127.0.0.0/24 is left to other programs.
         Self {
-            prefix: [127, 1 + (process % 250) as u8, (process / 250 % 8) as u8 * 32 + number % 32],
+            prefix: [
+                127,
+                1 + (process % 250) as u8,
+                (process / 250 % 8) as u8 * 32 + number % 32,
+            ],
         }
     }
 
@@ -91,6 +103,35 @@
     }
 }
 
+/// Starts a platform that holds a configuration.
+pub fn platform(network: Network, document: &Value) -> Handle {
+    let settings = platform::Settings {
+        objects: vec![json!({
+            "plural": "configheads",
+            "metadata": { "name": "current" },
+            "spec": { "version": document["version"], "document": document },
+        })],
+        ..platform::Settings::default()
+    };
+    platform::start(network.platform(), settings).expect("the platform starts")
+}
+
+/// Starts an engine of version `version` that generates answers of `tokens` tokens.
+pub fn engine(network: Network, index: u8, version: &str, tokens: u32, gap: Duration) -> Handle {
+    let version = Version::new(version).expect("a version");
+    let mut settings = engine::Settings::new(Model::new(MODEL).expect("a model"), version);
+    settings.gap = gap;
+    settings.min_answer = tokens;
+    settings.max_answer = tokens;
+    settings.seed = u64::from(index);
+    engine::start(network.engine(index), settings).expect("the engine starts")
+}
+
+/// Starts an instance of the booking service.
+pub fn booking(network: Network, index: u8) -> Handle {
+    service::start(network.service(index), service::Settings::new("booking")).expect("the service starts")
+}
+
 /// Builds the configuration document of a test: `engines` engines of version v1 and one booking service.
 pub fn document(network: Network, version: u64, engines: u8) -> Value {
     let mut inventory = serde_json::Map::new();
@@ -218,13 +259,15 @@
     fn drop(&mut self) {
         // The process may have ended already.
         if self.child.kill().is_ok() {
-            self.child.wait().ok();
+            let _ = self.child.wait();
         }
     }
 }
 
 fn settings(network: Network, index: u8, peers: u8, extra: &str) -> String {
-    let seeds = (0..peers).filter(|peer| *peer != index).map(|peer| network.peer(peer).to_string());
+    let seeds = (0..peers)
+        .filter(|peer| *peer != index)
+        .map(|peer| network.peer(peer).to_string());
     format!(
         "[entry]\nname = entry-{index}\ndata_centre = dc{}\nregion = test\nlisten = {}\n\
          [platform]\naddress = {}\npoll_ms = 200\n\
@@ -264,8 +307,6 @@
     address: SocketAddr,
     request: Request<Full<Bytes>>,
 ) -> hawthornpost_daemon::Result<(StatusCode, Bytes)> {
-    // The timer service is not driven here; `run` bounds the whole test.
-    let _unused = Timer::new();
     let response = client::open(address, request).await?;
     let status = response.status();
     let body = response.into_body().collect().await.expect("a whole body");
@@ -307,7 +348,12 @@
 impl Caller {
     /// Starts a generation.
     pub async fn start(address: SocketAddr, key: &str, prompt: &str, max_tokens: u32) -> Self {
-        let request = request(Method::POST, "/v1/completions", Some(key), completion(prompt, max_tokens));
+        let request = request(
+            Method::POST,
+            "/v1/completions",
+            Some(key),
+            completion(prompt, max_tokens),
+        );
         let response = client::open(address, request).await.expect("a response");
         assert_eq!(response.status(), StatusCode::OK);
         Self::new(response)
@@ -318,7 +364,10 @@
         let mut request = request(Method::POST, "/v1/completions/resume", Some(key), Bytes::new());
         let handle = self.handle.as_deref().expect("a handle");
         let headers = request.headers_mut();
-        headers.insert("hawthornpost-resume", HeaderValue::from_str(handle).expect("a header value"));
+        headers.insert(
+            "hawthornpost-resume",
+            HeaderValue::from_str(handle).expect("a header value"),
+        );
         if let Some(last) = self.last {
             headers.insert("last-event-id", HeaderValue::from(last));
         }
@@ -400,9 +449,14 @@
             return;
         };
         let index = index.parse().expect("an index");
-        assert_eq!(index, self.last.map_or(0, |last| last + 1), "a token is missing or repeated");
+        assert_eq!(
+            index,
+            self.last.map_or(0, |last| last + 1),
+            "a token is missing or repeated"
+        );
         let chunk = serde_json::from_str::<Value>(data).expect("JSON");
-        self.text.push_str(chunk["choices"][0]["text"].as_str().expect("a text"));
+        self.text
+            .push_str(chunk["choices"][0]["text"].as_str().expect("a text"));
         self.last = Some(index);
     }
 }
