Measure what an entry host adds per token

The engine writes the time of sending into each token, and caller and engine read one clock, so that the same run gives the direct and the routed figures.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,5 +3,9 @@
 //! Every experiment is a module that registers itself in [`EXPERIMENTS`], prints a table and can write it as CSV.
 
 pub mod experiment;
+mod path;
+mod path_caller;
+mod path_daemon;
+mod path_engine;
 
 pub use experiment::{EXPERIMENTS, Experiment};
