--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -53,6 +53,12 @@
     Register { line: u64, problem: String, remedy: String },
     #[error("a chunk has token ids and text offsets that do not match; check the engine's version")]
     MalformedChunk,
+    #[error("the resume handle is not valid for this account; pass the header Hawthornpost-Resume unchanged")]
+    InvalidHandle,
+    #[error("only {released} tokens were sent on this branch; resume from the last event that was received")]
+    NotReleased { released: u32 },
+    #[error("too many bytes wait for slow readers; read open streams or resume later")]
+    BacklogFull,
     #[expect(dead_code, reason = "used by the decoder of configuration chunks")]
     #[error("the configuration cannot be decoded: {source}; apply it again from its source files")]
     Decode { source: serde_json::Error },
@@ -69,7 +75,10 @@
             | Kind::Section { .. }
             | Kind::MalformedChunk
             | Kind::Register { .. }
-            | Kind::Decode { .. } => Category::Input,
+            | Kind::Decode { .. }
+            | Kind::NotReleased { .. } => Category::Input,
+            Kind::InvalidHandle => Category::Access,
+            Kind::BacklogFull => Category::Unavailable,
         }
     }
 }
