Bound and close the connections between entry hosts

The library's default allows 100 connections, which is too few for 390 entry hosts; concurrent first calls opened several connections to one peer; and idle connections were never closed. Each peer now has one connection, opened once, closed after 60 s without calls and replaced after any failure that is not a refusal. Message sizes are set on both sides.

--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -3,25 +3,27 @@
 //! `jsonrpsee` wants handlers that can move between threads, and the state of the daemon cannot. The handlers only
 //! pass a message to the local loop and wait for its reply.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use futures_util::future::LocalBoxFuture;
+use hawthornpost_core::clock;
 use jsonrpsee::RpcModule;
 use jsonrpsee::core::client::ClientT;
 use jsonrpsee::core::params::ArrayParams;
-use jsonrpsee::server::ServerBuilder;
+use jsonrpsee::server::{ServerBuilder, ServerConfig};
 use jsonrpsee::types::ErrorObjectOwned;
 use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
 use linkme::distributed_slice;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{OnceCell, mpsc, oneshot};
 
 use crate::error::{Error, Kind, Result};
 use crate::kernel::Context;
@@ -32,6 +34,12 @@
 #[distributed_slice]
 pub static METHODS: [Method];
 
+/// A copy of a generation with the longest prompt and its tokens, written as JSON, fits several times.
+const MAX_MESSAGE_BYTES: u32 = 16 << 20;
+/// Each of 390 entry hosts holds at most one connection to this one, and a new one may open before the old one closes.
+const MAX_CONNECTIONS: u32 = 1024;
+/// Connections without calls are closed, so that a large fleet does not become a full mesh.
+const IDLE_LIMIT: Duration = Duration::from_secs(60);
 /// The error code of a call that the handler refused.
 const REFUSED: i32 = -32000;
 /// The error code of a call with an unknown peer key.
@@ -59,7 +67,13 @@
 /// Calls other entry hosts, over one connection to each.
 pub struct Client {
     context: Rc<Context>,
-    connections: RefCell<HashMap<SocketAddr, Rc<WsClient>>>,
+    connections: RefCell<HashMap<SocketAddr, Rc<Connection>>>,
+}
+
+/// A connection to a peer, opened by its first call.
+struct Connection {
+    client: OnceCell<WsClient>,
+    used: Cell<clock::Instant>,
 }
 
 impl Client {
@@ -75,26 +89,28 @@
         body: &impl Serialize,
     ) -> Result<T> {
         let limit = self.context.settings().peers.timeout;
-        let call = self.call_without_limit(address, method, body);
-        let Some(result) = self.context.timer().limit(limit, call).await else {
-            self.disconnect(address);
-            return Err(Kind::Timeout { address, limit }.into());
+        let connection = self.connection(address);
+        let call = self.call_without_limit(&connection, address, method, body);
+        let result = match self.context.timer().limit(limit, call).await {
+            Some(result) => result,
+            None => Err(Kind::Timeout { address, limit }.into()),
         };
+        if result.as_ref().is_err_and(|error| !is_refusal(error)) {
+            // The connection may be silent while new ones work.
+            self.disconnect(address, &connection);
+        }
         result
     }
 
-    /// Closes the connection to a peer; the next call opens a new one.
-    pub fn disconnect(&self, address: SocketAddr) {
-        self.connections.borrow_mut().remove(&address);
-    }
-
     async fn call_without_limit<T: DeserializeOwned>(
         &self,
+        connection: &Connection,
         address: SocketAddr,
         method: &'static str,
         body: &impl Serialize,
     ) -> Result<T> {
-        let client = self.connection(address).await?;
+        let open = || self.open(address);
+        let client = connection.client.get_or_try_init(open).await?;
         let mut params = ArrayParams::new();
         let inserted = params.insert(self.context.settings().peers.key.expose());
         inserted.and_then(|()| params.insert(body)).map_err(|source| {
@@ -103,31 +119,67 @@
                 "report this as a fault",
             )
         })?;
-        match client.request(method, params).await {
-            Ok(value) => Ok(value),
-            Err(source) => {
-                if !matches!(source, jsonrpsee::core::client::Error::Call(_)) {
-                    self.disconnect(address);
-                }
-                Err(Kind::Peer { address, source }.into())
-            }
-        }
+        let answer = client.request(method, params).await;
+        answer.map_err(|source| Kind::Peer { address, source }.into())
     }
 
-    async fn connection(&self, address: SocketAddr) -> Result<Rc<WsClient>> {
-        let existing = self.connections.borrow().get(&address).map(Rc::clone);
-        if let Some(client) = existing.filter(|client| client.is_connected()) {
-            return Ok(client);
-        }
+    async fn open(&self, address: SocketAddr) -> Result<WsClient> {
         let limit = self.context.settings().peers.timeout;
         let builder = WsClientBuilder::default()
             .connection_timeout(limit)
-            .request_timeout(limit);
+            .request_timeout(limit)
+            .max_request_size(MAX_MESSAGE_BYTES)
+            .max_response_size(MAX_MESSAGE_BYTES);
         let built = builder.build(format!("ws://{address}")).await;
-        let client = Rc::new(built.map_err(|source| Kind::Peer { address, source })?);
-        self.connections.borrow_mut().insert(address, Rc::clone(&client));
-        Ok(client)
+        built.map_err(|source| Kind::Peer { address, source }.into())
+    }
+
+    fn connection(&self, address: SocketAddr) -> Rc<Connection> {
+        let now = self.context.timer().now();
+        let mut connections = self.connections.borrow_mut();
+        connections.retain(|_, connection| !connection.is_closed());
+        let connection = connections.entry(address).or_insert_with(|| {
+            Rc::new(Connection {
+                client: OnceCell::new(),
+                used: Cell::new(now),
+            })
+        });
+        connection.used.set(now);
+        Rc::clone(connection)
     }
+
+    /// Closes a connection; the next call opens a new one.
+    fn disconnect(&self, address: SocketAddr, connection: &Rc<Connection>) {
+        let mut connections = self.connections.borrow_mut();
+        if connections
+            .get(&address)
+            .is_some_and(|current| Rc::ptr_eq(current, connection))
+        {
+            connections.remove(&address);
+        }
+    }
+
+    fn close_idle(&self, now: clock::Instant) {
+        let mut connections = self.connections.borrow_mut();
+        connections.retain(|_, connection| now.since(connection.used.get()) < IDLE_LIMIT);
+    }
+}
+
+impl Connection {
+    fn is_closed(&self) -> bool {
+        self.client.get().is_some_and(|client| !client.is_connected())
+    }
+}
+
+/// Returns whether the peer answered with an error, so that the connection works.
+fn is_refusal(error: &Error) -> bool {
+    matches!(
+        error.kind(),
+        Kind::Peer {
+            source: jsonrpsee::core::client::Error::Call(_),
+            ..
+        }
+    )
 }
 
 impl fmt::Debug for Client {
@@ -154,11 +206,18 @@
 
 #[expect(clippy::unnecessary_wraps, reason = "the signature of all plug-ins")]
 fn start_client(context: &Rc<Context>) -> Result<()> {
-    let client = Client {
+    let client = Rc::new(Client {
         context: Rc::clone(context),
         connections: RefCell::default(),
-    };
-    context.provide(Rc::new(client));
+    });
+    context.provide(Rc::clone(&client));
+    tokio::task::spawn_local(async move {
+        let timer = client.context.timer();
+        loop {
+            timer.sleep(IDLE_LIMIT / 2).await;
+            client.close_idle(timer.now());
+        }
+    });
     Ok(())
 }
 
@@ -170,7 +229,13 @@
         .map_err(|source| Kind::Listen { address, source })?;
     let (sender, receiver) = mpsc::unbounded_channel();
     let module = module(&Arc::new(settings.key.clone()), &sender)?;
-    let server = ServerBuilder::default()
+    let config = ServerConfig::builder()
+        .ws_only()
+        .max_connections(MAX_CONNECTIONS)
+        .max_request_body_size(MAX_MESSAGE_BYTES)
+        .max_response_body_size(MAX_MESSAGE_BYTES)
+        .build();
+    let server = ServerBuilder::with_config(config)
         .build_from_tcp(listener)
         .map_err(|source| Kind::Listen { address, source })?;
     let handle = server.start(module);
