--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -48,14 +48,14 @@
         problem: String,
         remedy: String,
     },
-    #[expect(dead_code, reason = "used by the import of asset registers")]
     #[error("asset register, line {line}: {problem}; {remedy}")]
     Register { line: u64, problem: String, remedy: String },
     #[error("a chunk has token ids and text offsets that do not match; check the engine's version")]
     MalformedChunk,
-    #[expect(dead_code, reason = "used by the decoder of configuration chunks")]
     #[error("the configuration cannot be decoded: {source}; apply it again from its source files")]
     Decode { source: serde_json::Error },
+    #[error("configuration version {version}: {problem}; fetch the chunks again")]
+    Assembly { version: u64, problem: &'static str },
 }
 
 impl Error {
@@ -69,6 +69,7 @@
             | Kind::Section { .. }
             | Kind::MalformedChunk
             | Kind::Register { .. }
+            | Kind::Assembly { .. }
             | Kind::Decode { .. } => Category::Input,
         }
     }
--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -9,6 +9,13 @@
 use crate::id::{Account, Model, Rollout, Service, Version};
 use crate::settings::{File, Section};
 
+/// Fewer requests than this do not tell a version that fails one request in twenty from one that fails none.
+const DEFAULT_MIN_REQUESTS: u64 = 50;
+/// 30 minutes.
+const DEFAULT_KEEP_MS: u64 = 30 * 60 * 1000;
+/// A week; a version that stays loaded longer is a mistake in the unit.
+const MAX_KEEP_MS: u64 = 7 * 24 * 60 * 60 * 1000;
+
 /// All rules of one configuration version.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -67,6 +74,12 @@
     pub start: Timestamp,
     /// When the move has to be done.
     pub deadline: Timestamp,
+    /// The number of requests per route that the new version must serve before each doubling of its share.
+    pub min_requests: u32,
+    /// How long the old version stays loaded after the move, in milliseconds.
+    pub keep_ms: u64,
+    /// Whether the operators ended the move; all traffic then stays on the old version.
+    pub aborted: bool,
 }
 
 impl Rules {
@@ -177,7 +190,15 @@
         to: section.required("to", "the new version")?,
         start: section.required("start", time)?,
         deadline: section.required("deadline", time)?,
+        min_requests: u32::try_from(section.number("min_requests", DEFAULT_MIN_REQUESTS, 1..=100_000)?)
+            .unwrap_or(u32::MAX),
+        keep_ms: section.number("keep_ms", DEFAULT_KEEP_MS, 0..=MAX_KEEP_MS)?,
+        aborted: section.default("aborted", "true or false", false)?,
     };
+    if rule.from == rule.to {
+        let to = rule.to.to_string();
+        return Err(section.error("to", &to, "is the version that serves now", "set it to the new version"));
+    }
     if rule.deadline <= rule.start {
         let deadline = rule.deadline.to_string();
         return Err(section.error("deadline", &deadline, "is not after the start", "set a later deadline"));
