Add configuration versions and membership

Accepted configurations have to reach every entry within seconds and never revert, and every entry needs a view of the others that does not cost more per node as the fleet grows.

The tracker only goes up, fetches from peers first, and puts its version back when the platform returns with older contents. The writer makes one conditional write and reads lost answers back by digest.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -1,7 +1,22 @@
 //! Whole versions of the configuration.
+//!
+//! A version is a [`Document`], stored as immutable [`Chunk`]s under their hashes and one [`Head`] that names them. The
+//! conditional write of the head is the moment of acceptance. A [`Writer`] makes that write for an operator, a
+//! [`Tracker`] keeps an entry at the highest version that it saw, [`Freshness`] decides whether the entry may take new
+//! work, and [`Status`] says which members have a version.
 
 use serde::{Deserialize, Serialize};
 
+pub use crate::config_chunk::Chunk;
+pub use crate::config_diff::{Change, Line, difference};
+pub use crate::config_digest::Digest;
+pub use crate::config_freshness::{Freshness, Reach};
+pub use crate::config_head::{Head, Past, Proposal};
+pub use crate::config_held::Held;
+pub use crate::config_status::Status;
+pub use crate::config_tracker::{Command, Event, Source, Tracker};
+pub use crate::config_writer::{Ask, Outcome, PutAnswer, Reply, Stored, Writer};
+use crate::error::Result;
 use crate::inventory::Register;
 use crate::rules::Rules;
 
@@ -16,3 +31,20 @@
     /// The rules.
     pub rules: Rules,
 }
+
+impl Document {
+    /// Reads and checks inventory and rules as a whole.
+    ///
+    /// # Errors
+    ///
+    /// Fails at the first line or section that is malformed or contradicts another.
+    pub fn parse(version: u64, inventory_csv: &str, rules_ini: &str) -> Result<Self> {
+        let document = Self {
+            version,
+            inventory: Register::import(inventory_csv)?,
+            rules: Rules::parse(rules_ini)?,
+        };
+        document.rules.check(&document.inventory)?;
+        Ok(document)
+    }
+}
--- /dev/null
+++ b/crates/core/src/config_held.rs
@@ -0,0 +1,34 @@
+//! A version that an entry holds.
+
+use std::sync::Arc;
+
+use crate::config::{Chunk, Digest, Document, Head};
+use crate::error::Result;
+
+/// A head with its chunks and the document made of them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Held {
+    /// The head.
+    pub head: Head,
+    /// The chunks in the order of the head.
+    pub chunks: Vec<Chunk>,
+    /// The document.
+    pub document: Arc<Document>,
+}
+
+impl Held {
+    /// Checks the chunks and builds the document.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the chunks are not those of the head or are malformed.
+    pub fn new(head: Head, chunks: Vec<Chunk>) -> Result<Self> {
+        let document = Arc::new(Chunk::assemble(&head, &chunks)?);
+        Ok(Self { head, chunks, document })
+    }
+
+    /// Returns the chunk with this hash.
+    pub fn chunk(&self, hash: &Digest) -> Option<&Chunk> {
+        self.chunks.iter().find(|chunk| chunk.hash == *hash)
+    }
+}
--- /dev/null
+++ b/crates/core/tests/config.rs
@@ -0,0 +1,250 @@
+//! Configuration versions: chunks, differences, fetching, freshness and status.
+
+use std::time::Duration;
+
+use hawthornpost_core::clock::Instant;
+use hawthornpost_core::config::{
+    Change, Chunk, Command, Document, Event, Freshness, Head, Held, Proposal, Reach, Source, Status, Stored, Tracker,
+    difference,
+};
+use hawthornpost_core::membership::{Member, State};
+use jiff::Timestamp;
+use test_case::test_case;
+
+const RULES: &str = "[model letters]\nversion = v1\nmax_tokens = 100\n";
+
+fn document(targets: u32, rules: &str) -> Document {
+    let mut csv = "name,address,data_centre,role,version,model,capacity_tokens,fencing\n".to_owned();
+    for n in 0..targets {
+        csv += &format!(
+            "t{n},10.{}.{}.1:80,perth,engine,v1,letters,1000,checked\n",
+            n / 256,
+            n % 256
+        );
+    }
+    Document::parse(1, &csv, rules).expect("a valid document")
+}
+
+fn held(previous: Option<&Head>, document: &Document, nonce: u64) -> Held {
+    let chunks = Chunk::cut(document).expect("chunks");
+    let proposal = Proposal {
+        chunks: chunks.iter().map(|chunk| chunk.hash).collect(),
+        author: "ops".to_owned(),
+        at: Timestamp::UNIX_EPOCH,
+        nonce,
+    };
+    Held::new(Head::following(previous, proposal), chunks).expect("a whole version")
+}
+
+fn stored(head: &Head) -> Option<Stored> {
+    Some(Stored {
+        head: head.clone(),
+        resource_version: "7".to_owned(),
+    })
+}
+
+/// A change of one record must not move the whole configuration over the network.
+#[test]
+fn a_change_replaces_few_chunks() {
+    let before = Chunk::cut(&document(5600, RULES)).expect("chunks");
+    let after = Chunk::cut(&document(5600, &RULES.replace("100", "200"))).expect("chunks");
+    let shared = after.iter().filter(|chunk| before.contains(chunk)).count();
+    assert!(before.len() > 20, "{} chunks", before.len());
+    assert_eq!(after.len() - shared, 1);
+    assert!(before.iter().all(|chunk| chunk.text.len() <= 256 * 1024));
+    assert_eq!(*held(None, &document(5600, RULES), 1).document, document(5600, RULES));
+}
+
+/// Damaged, missing and swapped chunks are never put into force.
+#[test_case(|chunks| chunks[0].text = "{}".into(); "damaged")]
+#[test_case(|chunks| drop(chunks.pop()); "missing")]
+#[test_case(|chunks| chunks.swap(0, 1); "swapped")]
+#[test_case(|chunks| { let first = chunks[0].clone(); chunks.push(first); }; "one too many")]
+fn chunks_that_do_not_fit_are_refused(damage: fn(&mut Vec<Chunk>)) {
+    let Held { head, mut chunks, .. } = held(None, &document(500, RULES), 1);
+    damage(&mut chunks);
+    assert!(Held::new(head, chunks).is_err());
+}
+
+#[test]
+fn a_difference_names_sections_and_fields_and_shortens_key_hashes() {
+    let key = |byte: u8| blake3::hash(&[byte]).to_string();
+    let before = document(2, &format!("{RULES}[account a]\nkey_hash = {}\n", key(1)));
+    let after = document(
+        1,
+        &format!(
+            "{}[account a]\nkey_hash = {}\n[account b]\nkey_hash = {}\n",
+            RULES.replace("100", "200"),
+            key(2),
+            key(3)
+        ),
+    );
+    let lines = difference(&before, &after)
+        .iter()
+        .map(ToString::to_string)
+        .collect::<Vec<_>>();
+    let hash = format!("~ [account a] key_hash: {:.8}... -> {:.8}...", key(1), key(2));
+    assert_eq!(
+        lines,
+        [
+            hash.as_str(),
+            "+ [account b]",
+            "~ [model letters] max_tokens: 100 -> 200",
+            "- [target t1]"
+        ]
+    );
+    assert_eq!(difference(&before, &before), []);
+    assert!(matches!(difference(&before, &after)[0].change, Change::Changed { .. }));
+}
+
+/// Feeds a tracker from a set of chunks until it asks for nothing more.
+fn serve(tracker: &mut Tracker, now: Instant, commands: Vec<Command>, source: &Held) -> Vec<Command> {
+    let mut rest = Vec::new();
+    let mut queue = std::collections::VecDeque::from(commands);
+    while let Some(command) = queue.pop_front() {
+        match command {
+            Command::FetchChunk(from, hash) => {
+                let chunk = source.chunk(&hash).expect("a chunk of the version").clone();
+                queue.extend(tracker.handle(now, Event::Chunk(from, chunk)));
+            }
+            other => rest.push(other),
+        }
+    }
+    rest
+}
+
+#[test]
+fn a_higher_head_is_fetched_and_applied_once_and_a_lower_one_never() {
+    let first = held(None, &document(500, RULES), 1);
+    let second = held(Some(&first.head), &document(501, RULES), 2);
+    let mut tracker = Tracker::new();
+    let now = Instant::ZERO;
+    let commands = tracker.handle(now, Event::PlatformHead(stored(&second.head)));
+    assert!(matches!(
+        serve(&mut tracker, now, commands, &second)[..],
+        [Command::Apply(_)]
+    ));
+    let peer = "peer".parse().expect("a name");
+    assert_eq!(tracker.handle(now, Event::PeerHead(peer, first.head.clone())), []);
+    assert_eq!(tracker.version(), 2);
+    // The platform with older contents gets the highest version back, on condition of what it has.
+    let commands = tracker.handle(now, Event::PlatformHead(stored(&first.head)));
+    let expected = Command::Restore {
+        head: second.head.clone(),
+        resource_version: Some("7".to_owned()),
+    };
+    assert_eq!(commands, [expected]);
+    let emptied = tracker.handle(Instant::from_millis(2000), Event::PlatformHead(None));
+    assert!(
+        matches!(
+            &emptied[..],
+            [Command::Restore {
+                resource_version: None,
+                ..
+            }]
+        ),
+        "{emptied:?}"
+    );
+}
+
+/// All entries see an older platform at once; only the first in rank writes at once.
+#[test]
+fn restores_are_staggered_by_rank() {
+    let first = held(None, &document(1, RULES), 1);
+    let second = held(Some(&first.head), &document(2, RULES), 2);
+    let mut tracker = Tracker::new();
+    tracker.set_rank(3);
+    tracker.handle(Instant::ZERO, Event::Written(second.clone()));
+    assert_eq!(
+        tracker.handle(Instant::ZERO, Event::PlatformHead(stored(&first.head))),
+        []
+    );
+    assert_eq!(tracker.deadline(), Some(Instant::from_millis(600)));
+    assert_eq!(
+        tracker.handle(Instant::from_millis(300), Event::PlatformHead(stored(&second.head))),
+        []
+    );
+    assert_eq!(tracker.handle(Instant::from_millis(600), Event::Wake), []);
+}
+
+/// A source without the chunk, a silent source and a source that sends damaged data must not stop a version.
+#[test]
+fn every_source_is_tried() {
+    let version = held(None, &document(1, RULES), 1);
+    let hash = version.head.chunks[0];
+    let (a, b) = ("a".parse().expect("a name"), "b".parse().expect("a name"));
+    let mut tracker = Tracker::new();
+    let asked = tracker.handle(Instant::ZERO, Event::PeerHead(a, version.head.clone()));
+    let Command::FetchChunk(source, _) = &asked[0] else {
+        panic!("{asked:?}")
+    };
+    tracker.handle(Instant::ZERO, Event::PeerVersion(b, 1));
+    let damaged = Chunk { hash, text: "x".into() };
+    let asked = tracker.handle(Instant::ZERO, Event::Chunk(source.clone(), damaged));
+    assert!(
+        matches!(&asked[..], [Command::FetchChunk(Source::Peer(peer), _)] if peer.as_str() == "b"),
+        "{asked:?}"
+    );
+    let late = tracker.deadline().expect("a limit for the fetch");
+    let asked = tracker.handle(late, Event::Wake);
+    assert_eq!(asked, [Command::FetchChunk(Source::Platform, hash)]);
+    assert!(tracker.is_behind(true));
+    let commands = tracker.handle(late, Event::Chunk(Source::Platform, version.chunks[0].clone()));
+    assert!(matches!(commands[..], [Command::Apply(_)]) && !tracker.is_behind(true));
+}
+
+/// Platform at 0 ms; the columns are: last peer answer, behind since, time of the question.
+#[test_case(None, None, 4_999, Reach::Platform; "platform answered within the limit")]
+#[test_case(None, None, 5_000, Reach::Nothing; "neither answers")]
+#[test_case(Some(4_000), None, 8_999, Reach::Peers; "a peer answers")]
+#[test_case(Some(4_000), None, 9_000, Reach::Nothing; "the peer went silent too")]
+#[test_case(Some(4_000), Some(1_000), 5_999, Reach::Peers; "a version is being fetched")]
+#[test_case(Some(4_000), Some(1_000), 6_000, Reach::Behind; "a version cannot be fetched")]
+fn freshness(peer: Option<u64>, behind: Option<u64>, at: u64, expected: Reach) {
+    let mut freshness = Freshness::new(Duration::from_secs(5));
+    freshness.platform_answered(Instant::ZERO);
+    if let Some(millis) = behind {
+        freshness.behind(Instant::from_millis(millis), true);
+        freshness.behind(Instant::from_millis(millis + 500), true);
+    }
+    if let Some(millis) = peer {
+        freshness.peer_answered(Instant::from_millis(millis));
+    }
+    let now = Instant::from_millis(at);
+    assert_eq!(freshness.reach(now), expected);
+    freshness.behind(now, false);
+    freshness.lapse();
+    assert_eq!(freshness.reach(now), Reach::Nothing);
+}
+
+#[test]
+fn a_version_is_in_force_when_every_live_member_has_it() {
+    let member = |name: &str, state, config| Member {
+        name: name.parse().expect("a name"),
+        peer_address: ([127, 0, 0, 1], 1).into(),
+        caller_address: ([127, 0, 0, 1], 2).into(),
+        data_centre: "perth".parse().expect("a name"),
+        incarnation: 1,
+        state,
+        draining: false,
+        config,
+    };
+    let mut members = vec![
+        member("a", State::Alive, 9),
+        member("b", State::Suspect, 8),
+        member("c", State::Dead, 9),
+        member("d", State::Left, 3),
+    ];
+    let status = Status::of(9, &members);
+    assert!(!status.in_force());
+    assert_eq!(
+        (
+            status.have.len(),
+            status.lacking[0].as_str(),
+            status.unreachable[0].as_str()
+        ),
+        (1, "b", "c")
+    );
+    members[1].config = 10;
+    assert!(Status::of(9, &members).in_force());
+}
