Add the operators' command line

Eleven verbs over the endpoints of sections 5.1 and 5.6 of the design, each with help, exit codes and `--json`.

--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,7 @@
+//! `hawthornpost` operates a deployment; see `hawthornpost --help`.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    hawthornpost::main()
+}
--- /dev/null
+++ b/crates/cli/tests/offline.rs
@@ -0,0 +1,72 @@
+//! Guards the verbs that need no deployment: exit codes, and errors that say what to do.
+
+mod common;
+
+use common::{run, stderr, stdout};
+use test_case::test_case;
+
+const INVENTORY: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/data/inventory.csv");
+const RULES: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/data/rules.ini");
+
+#[test]
+fn valid_files_are_summed_up() {
+    let output = run(&["validate", "--inventory", INVENTORY, "--rules", RULES], "");
+    assert_eq!(
+        stdout(&output),
+        "valid: 3 targets, 1 accounts, 1 models, 1 services, 0 rollouts\n"
+    );
+    assert!(output.status.success());
+}
+
+#[test_case(&["validate", "--inventory", "absent.csv", "--rules", RULES], 3, "cannot read absent.csv"; "missing file")]
+#[test_case(&["validate", "--inventory", INVENTORY, "--rules", INVENTORY], 3, "move it into a section"; "not INI")]
+#[test_case(&["import", RULES], 3, "rules.ini"; "not a register")]
+#[test_case(&["validate", "--inventory", INVENTORY], 2, "--rules"; "missing option")]
+#[test_case(&["explode"], 2, "explode"; "unknown verb")]
+#[test_case(&["status"], 2, "--entry"; "no address")]
+#[test_case(&["--entry", "127.0.0.1:1", "status"], 5, "check the addresses"; "nobody listens")]
+fn mistakes_have_an_exit_code_and_a_remedy(arguments: &[&str], code: i32, words: &str) {
+    let output = run(arguments, "");
+    assert_eq!(output.status.code(), Some(code), "{}", stderr(&output));
+    assert!(stderr(&output).contains(words), "{}", stderr(&output));
+}
+
+#[test]
+fn a_register_is_counted_and_printed_as_json() {
+    assert!(stdout(&run(&["import", INVENTORY], "")).contains("1 engines of letters v1 in perth"));
+    let json = stdout(&run(&["--json", "import", INVENTORY], ""));
+    let targets = serde_json::from_str::<serde_json::Value>(&json).unwrap();
+    assert_eq!(targets["engine-2"]["role"]["fencing"], "ignored");
+}
+
+/// Guards against a hash of the line instead of the key, which would refuse every caller.
+#[test]
+fn the_hash_of_a_key_leaves_out_the_line_end() {
+    let output = run(&["hash-key"], "key-of-the-operators\n");
+    let expected = blake3::hash(b"key-of-the-operators").to_hex();
+    assert_eq!(stdout(&output).trim(), expected.as_str());
+}
+
+#[test_case(&[]; "all verbs")]
+#[test_case(&["validate"]; "validate")]
+#[test_case(&["import"]; "import")]
+#[test_case(&["diff"]; "diff")]
+#[test_case(&["apply"]; "apply")]
+#[test_case(&["history"]; "history")]
+#[test_case(&["status"]; "status")]
+#[test_case(&["rollout"]; "rollout")]
+#[test_case(&["rollout", "show"]; "rollout show")]
+#[test_case(&["drain"]; "drain")]
+#[test_case(&["dump"]; "dump")]
+#[test_case(&["send"]; "send")]
+#[test_case(&["hash-key"]; "hash-key")]
+fn every_verb_has_help(verb: &[&str]) {
+    let output = run(&[verb, &["--help"]].concat(), "");
+    let text = stdout(&output);
+    assert!(output.status.success(), "{}", stderr(&output));
+    assert!(
+        text.starts_with(&["Usage: hawthornpost", &verb.join(" ")].join(" ").trim_end().to_owned()),
+        "{text}"
+    );
+    assert!(text.contains("Exit codes:"));
+}
