Number the log events, publish metrics and refuse bad input with a remedy

Operators search logs by number. The events are one enum made by a macro from number, level and text; a test keeps docs/events.md equal to it, and every event is counted by its number in /metrics, so that an alarm does not depend on the log level. Text lines carry the time and escape control characters, so that a text from a target cannot look like a line of its own.

Bad input: hyper refused heads above 16 KB without a body. The daemon now checks the size itself and answers with a problem; hyper's buffer is 64 KB, above which its bare 431 remains. The bodies that are arriving share the bound `request_bytes` (64 MB): 20,000 connections with 1 MB each could hold 20 GB before. Problems have the member `remedy` that the design promises.

Connections without a whole head are closed by hyper without an answer; a problem would need a request to answer to.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -19,6 +19,8 @@
 use crate::error::{Error, Kind, Result};
 
 const ENTRIES_VARIABLE: &str = "HAWTHORNPOST_ENTRIES";
+/// The characters that are shown of a refusal that is not a problem.
+const MAX_DETAIL: usize = 300;
 const KEY_VARIABLE: &str = "HAWTHORNPOST_KEY";
 
 /// Calls one of several entry hosts.
@@ -196,10 +198,11 @@
 
 fn refusal(address: SocketAddr, status: StatusCode, body: &[u8]) -> Error {
     let problem = serde_json::from_slice::<Value>(body).unwrap_or_default();
-    let detail = problem["detail"].as_str().map_or_else(
-        || String::from_utf8_lossy(body).chars().take(300).collect(),
-        str::to_owned,
-    );
+    let detail = match (problem["detail"].as_str(), problem["remedy"].as_str()) {
+        (Some(detail), Some(remedy)) if !remedy.is_empty() => format!("{detail}; {remedy}"),
+        (Some(detail), _) => detail.to_owned(),
+        (None, _) => String::from_utf8_lossy(body).chars().take(MAX_DETAIL).collect(),
+    };
     let kind = match status {
         StatusCode::UNAUTHORIZED | StatusCode::FORBIDDEN => Kind::Access { address, detail },
         StatusCode::CONFLICT => Kind::Conflict { detail, problem },
--- a/crates/daemon/src/completions.rs
+++ b/crates/daemon/src/completions.rs
@@ -15,8 +15,9 @@
 
 use crate::access::Access;
 use crate::configuration::Current;
-use crate::engine::{Event, Stream};
+use crate::engine::{self, Stream};
 use crate::error::{Error, Result};
+use crate::event::Event;
 use crate::http::{self, Body, Call, ROUTES, Route};
 use crate::kernel::{Context, Phase};
 use crate::rollouts::Rollouts;
@@ -108,6 +109,11 @@
     tokio::task::spawn_local(async move {
         let mut output = Output::Stream(sender);
         if let Err(error) = generation.run(&mut output).await {
+            Event::GenerationFailed {
+                request: &generation.generate.request_id,
+                error: &error,
+            }
+            .log();
             output.fail(&error).await;
         }
         drop(work);
@@ -142,7 +148,12 @@
             tried.push(choice.target.clone());
             match self.attempt(choice.address, output).await {
                 Ok(finish) => return Ok(finish),
-                Err(error) => log::warn!("attempt at {} failed: {error}", choice.target),
+                Err(error) => Event::AttemptFailed {
+                    request: &self.generate.request_id,
+                    target: &choice.target,
+                    error: &error,
+                }
+                .log(),
             }
             self.generate.attempt = self.generate.attempt.next();
         }
@@ -163,7 +174,7 @@
 
     async fn attempt(&mut self, address: std::net::SocketAddr, output: &mut Output) -> Result<Finish> {
         let mut stream = Stream::start(address, &self.generate).await?;
-        while let Some(Event::Frame(frame)) = stream.next().await? {
+        while let Some(engine::Event::Frame(frame)) = stream.next().await? {
             if let Some(finish) = self.accept(frame, output).await? {
                 return Ok(finish);
             }
@@ -216,7 +227,6 @@
     }
 
     async fn fail(&mut self, error: &Error) {
-        log::warn!("a generation failed: {error}");
         if let Self::Stream(sender) = self {
             let problem = json!({ "error": { "message": error.to_string(), "type": "server_error" } });
             if send(sender, format!("event: error\ndata: {problem}\n\n"))
--- a/crates/daemon/src/configuration.rs
+++ b/crates/daemon/src/configuration.rs
@@ -9,6 +9,7 @@
 use tokio::sync::watch;
 
 use crate::error::{Error, Result};
+use crate::event::Event;
 use crate::kernel::Context;
 use crate::platform;
 use crate::plugin::{PLUGINS, Plugin, Stage};
@@ -75,11 +76,11 @@
             Ok(Some(document)) => {
                 let version = document.version;
                 if current.apply(document) {
-                    log::info!("configuration version {version} is applied");
+                    Event::ConfigurationApplied { version: &version }.log();
                 }
             }
             Ok(None) => log::debug!("the platform holds no configuration"),
-            Err(error) => log::warn!("cannot read the configuration: {error}"),
+            Err(error) => Event::ConfigurationUnread { error: &error }.log(),
         }
         context.timer().sleep(context.settings().platform.poll).await;
     }
--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -59,6 +59,8 @@
     BadRequest { detail: String, remedy: String },
     #[error("the request body is larger than {limit} bytes; send a shorter one")]
     TooLarge { limit: usize },
+    #[error("the request headers are larger than {limit} bytes; send fewer or shorter ones")]
+    LargeHead { limit: usize },
     #[error("the request body did not arrive within {limit:?}; send it at once")]
     SlowBody { limit: Duration },
     #[error("the key is missing or not known; send `Authorization: Bearer KEY` with a key of this deployment")]
--- /dev/null
+++ b/crates/daemon/src/event.rs
@@ -0,0 +1,105 @@
+//! Numbered log events.
+//!
+//! Operators search logs and set alarms by number, so that the wording of a text can change. `docs/events.md` says what
+//! to do for each; a test keeps the two equal. Lines for developers have the level debug and no number.
+
+use std::fmt::{self, Display};
+
+use log::Level;
+
+use crate::metric;
+
+/// The key under which a log record carries the number.
+pub(crate) const NUMBER_KEY: &str = "event";
+
+/// An event as the catalogue lists it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Listed {
+    /// The number.
+    pub number: u16,
+    /// The level.
+    pub level: Level,
+    /// The text with the names of its fields.
+    pub text: &'static str,
+}
+
+macro_rules! events {
+    ($($(#[$doc:meta])* $number:literal $level:ident $name:ident { $($field:ident),* } $text:literal)+) => {
+        /// Something that operators are told.
+        ///
+        /// Fields are borrowed and only formatted when the level is enabled.
+        #[derive(Clone, Copy)]
+        pub enum Event<'a> {
+            $($(#[$doc])* $name {
+                $(
+                    #[doc = concat!("The value of `{", stringify!($field), "}` in the text.")]
+                    $field: &'a dyn Display,
+                )*
+            },)+
+        }
+
+        /// All events in the order of their numbers.
+        pub const CATALOGUE: &[Listed] = &[
+            $(Listed { number: $number, level: Level::$level, text: $text },)+
+        ];
+
+        impl Event<'_> {
+            /// Returns the number.
+            pub fn number(&self) -> u16 {
+                match self {
+                    $(Self::$name { .. } => $number,)+
+                }
+            }
+
+            /// Returns the level.
+            pub fn level(&self) -> Level {
+                match self {
+                    $(Self::$name { .. } => Level::$level,)+
+                }
+            }
+        }
+
+        impl Display for Event<'_> {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                match self {
+                    $(Self::$name { $($field),* } => write!(f, $text),)+
+                }
+            }
+        }
+    };
+}
+
+events! {
+    /// The daemon takes work.
+    101 Info Running { entry, version } "entry {entry} is running, release {version}"
+    /// The daemon was told to stop.
+    102 Info Leaving { lifetime } "leaving: the address is no longer given out; callers may use it for {lifetime}"
+    /// The daemon takes no new work.
+    103 Info Draining { work } "draining: {work} pieces of work are running"
+    /// The daemon ends.
+    104 Info Stopped {} "stopped"
+    /// The listener cannot take a connection.
+    111 Warn AcceptFailed { error } "cannot accept a connection: {error}"
+    /// A new version is in use.
+    201 Info ConfigurationApplied { version } "configuration version {version} is applied"
+    /// The configuration cannot be read.
+    202 Warn ConfigurationUnread { error } "cannot read the configuration: {error}"
+    /// One attempt ended without the whole answer.
+    401 Warn AttemptFailed { request, target, error } "request {request}: the attempt at {target} failed: {error}"
+    /// The caller is told that its answer is not whole.
+    402 Warn GenerationFailed { request, error } "request {request}: the generation failed: {error}"
+}
+
+impl Event<'_> {
+    /// Writes the event to the log.
+    pub fn log(&self) {
+        metric::count_event(self.number());
+        log::log!(target: "hawthornpost", self.level(), event = self.number(); "{self}");
+    }
+}
+
+impl fmt::Debug for Event<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Event({}: {self})", self.number())
+    }
+}
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -11,7 +11,7 @@
 use hawthornpost_core::id::Account;
 use http_body_util::channel::Channel;
 use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -21,10 +21,13 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, SemaphorePermit};
 
 use crate::access::{self, Access};
 use crate::error::{Error, Kind, Result};
+use crate::event::Event;
 use crate::kernel::{Context, Phase};
+use crate::metric;
 use crate::plugin::{PLUGINS, Plugin, Stage};
 use crate::problem::Problem;
 
@@ -34,6 +37,13 @@
 
 /// The largest request head in bytes; larger ones are refused with status 431.
 const MAX_HEAD_BYTES: usize = 16 << 10;
+/// The bytes that hyper buffers for a request head. It refuses larger heads without a body, so the margin lets most
+/// callers see the remedy.
+const HEAD_BUFFER_BYTES: usize = 4 * MAX_HEAD_BYTES;
+/// The bytes of a header line besides name and value: `: ` and the line end.
+const HEADER_LINE_BYTES: usize = 4;
+/// How long a caller waits when too many bodies are arriving.
+const BODY_RETRY: Duration = Duration::from_secs(1);
 /// How long the listener pauses after it failed to accept, for example without free file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -92,9 +102,18 @@
     ///
     /// # Errors
     ///
-    /// Fails when the body is too large, too slow or the connection breaks.
+    /// Fails when the body is too large, too slow or the connection breaks, and when too many bodies are arriving.
     pub async fn body(self, context: &Context) -> Result<Bytes> {
         let limits = &context.settings().limits;
+        let announced = self.request.body().size_hint();
+        if announced.lower() > limits.body_bytes as u64 {
+            return Err(Kind::TooLarge {
+                limit: limits.body_bytes,
+            }
+            .into());
+        }
+        let intake = context.part::<Intake>();
+        let _reserved = intake.reserve(announced.upper(), limits.body_bytes)?;
         let body = Limited::new(self.request.into_body(), limits.body_bytes).collect();
         let Some(result) = context.timer().limit(limits.body_timeout, body).await else {
             return Err(Kind::SlowBody {
@@ -123,6 +142,21 @@
     }
 }
 
+/// Bounds the memory of request bodies that are arriving.
+#[derive(Debug)]
+struct Intake {
+    free: Semaphore,
+}
+
+impl Intake {
+    /// Reserves room for a body; without an announced length, for the largest one.
+    fn reserve(&self, announced: Option<u64>, largest: usize) -> Result<SemaphorePermit<'_>> {
+        let bytes = announced.unwrap_or(largest as u64).min(largest as u64);
+        let reserved = self.free.try_acquire_many(u32::try_from(bytes).unwrap_or(u32::MAX));
+        reserved.map_err(|_full| Error::unavailable("too many request bodies are arriving", BODY_RETRY))
+    }
+}
+
 /// Builds a body that is known as a whole.
 pub fn full(bytes: impl Into<Bytes>) -> Body {
     Either::Left(Full::new(bytes.into()))
@@ -186,6 +220,8 @@
 
 fn start(context: &Rc<Context>) -> Result<()> {
     let listener = listen(context.settings().entry.listen)?;
+    let free = Semaphore::new(context.settings().limits.request_bytes);
+    context.provide(Rc::new(Intake { free }));
     let context = Rc::clone(context);
     tokio::task::spawn_local(accept(context, listener));
     Ok(())
@@ -207,7 +243,7 @@
 
 async fn accept(context: Rc<Context>, listener: TcpListener) {
     let router = Rc::new(Router::new());
-    let open = Arc::new(tokio::sync::Semaphore::new(context.settings().limits.connections));
+    let open = Arc::new(Semaphore::new(context.settings().limits.connections));
     loop {
         // A connection beyond the bound waits in the listener's queue.
         let Ok(permit) = Arc::clone(&open).acquire_owned().await else {
@@ -222,7 +258,7 @@
                 });
             }
             Err(error) => {
-                log::warn!("cannot accept a connection: {error}");
+                Event::AcceptFailed { error: &error }.log();
                 context.timer().sleep(ACCEPT_PAUSE).await;
             }
         }
@@ -243,7 +279,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(header_timeout)
-        .max_buf_size(MAX_HEAD_BYTES)
+        .max_buf_size(HEAD_BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let result = tokio::select! {
@@ -259,13 +295,26 @@
 }
 
 async fn answer(context: Rc<Context>, router: &Router, request: Request<Incoming>) -> Response<Body> {
-    match dispatch(context, router, request).await {
+    let response = match dispatch(context, router, request).await {
         Ok(response) => response,
         Err(error) => Problem::new(&error).into_response(),
+    };
+    metric::count_response(response.status());
+    response
+}
+
+fn check_head(request: &Request<Incoming>) -> Result<()> {
+    let lines = request.headers().iter();
+    let headers = lines.map(|(name, value)| name.as_str().len() + value.len() + HEADER_LINE_BYTES);
+    let path = request.uri().path_and_query().map_or(0, |path| path.as_str().len());
+    if path + headers.sum::<usize>() > MAX_HEAD_BYTES {
+        return Err(Kind::LargeHead { limit: MAX_HEAD_BYTES }.into());
     }
+    Ok(())
 }
 
 async fn dispatch(context: Rc<Context>, router: &Router, request: Request<Incoming>) -> Result<Response<Body>> {
+    check_head(&request)?;
     let (route, parameters) = router.find(request.method(), request.uri().path())?;
     let account = access::check(&context, route.access, request.headers())?;
     let call = Call {
--- a/crates/daemon/src/kernel.rs
+++ b/crates/daemon/src/kernel.rs
@@ -13,6 +13,7 @@
 use tokio::task::LocalSet;
 
 use crate::error::{Kind, Result};
+use crate::event::Event;
 use crate::plugin;
 use crate::settings::Settings;
 use crate::timer::Timer;
@@ -171,7 +172,11 @@
     let driver = Rc::clone(&context);
     tokio::task::spawn_local(async move { driver.timer.run().await });
     plugin::start_all(&context)?;
-    log::info!("entry {} is running", context.settings.entry.name);
+    Event::Running {
+        entry: &context.settings.entry.name,
+        version: &env!("CARGO_PKG_VERSION"),
+    }
+    .log();
     let mut phase = context.watch_phase();
     tokio::select! {
         result = wait_for_signal() => result?,
@@ -194,14 +199,18 @@
 /// Leaves in three steps, so that callers who still hold the address are served until it has lapsed and nothing that
 /// runs is cut off.
 async fn shut_down(context: &Rc<Context>) {
-    log::info!("leaving: the address is no longer given out");
+    let lifetime = format!("{:?}", context.settings.limits.address_lifetime);
+    Event::Leaving { lifetime: &lifetime }.log();
     context.advance(Phase::Leaving);
     context.timer.sleep(context.settings.limits.address_lifetime).await;
     context.advance(Phase::Draining);
-    log::info!("draining: {} pieces of work are running", context.running_work());
+    Event::Draining {
+        work: &context.running_work(),
+    }
+    .log();
     while context.running_work() > 0 {
         context.timer.sleep(DRAIN_POLL).await;
     }
     context.advance(Phase::Stopped);
-    log::info!("stopped");
+    Event::Stopped {}.log();
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,10 +9,12 @@
 //! | [`configuration`] | the configuration in force |
 //! | [`engine`] | client of the engines' protocol |
 //! | [`entries`] | entry addresses for callers |
+//! | [`event`] | numbered log events |
 //! | [`http`] | server for callers and operators |
 //! | [`kernel`] | the loop, the context and the phases of a run |
 //! | [`logging`] | log output |
 //! | [`members`] | live entry hosts |
+//! | [`metric`] | names and page of the metrics |
 //! | [`peer`] | calls between entry hosts |
 //! | [`platform`] | client of the platform API |
 //! | [`plugin`] | plug-ins that register themselves |
@@ -31,10 +33,12 @@
 pub mod engine;
 pub mod entries;
 mod error;
+pub mod event;
 pub mod http;
 pub mod kernel;
 pub mod logging;
 pub mod members;
+pub mod metric;
 pub mod peer;
 pub mod platform;
 pub mod plugin;
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -1,9 +1,15 @@
 //! Log output through `fern`, as text or JSON lines.
 
 use hawthornpost_core::id::Entry;
+use jiff::Timestamp;
+use log::Record;
+use log::kv::Key;
 use serde_json::json;
 
+use std::fmt::Arguments;
+
 use crate::error::{Kind, Result};
+use crate::event::NUMBER_KEY;
 use crate::settings::{LogFormat, LogSettings};
 
 /// Starts logging for the process.
@@ -18,18 +24,7 @@
         .level(settings.level)
         .level_for("jsonrpsee_server", log::LevelFilter::Warn)
         .level_for("jsonrpsee_core", log::LevelFilter::Warn)
-        .format(move |out, message, record| match format {
-            LogFormat::Text => out.finish(format_args!("{:<5} {entry} {message}", record.level())),
-            LogFormat::Json => {
-                let line = json!({
-                    "level": record.level().as_str(),
-                    "entry": entry.as_str(),
-                    "module": record.target(),
-                    "message": message.to_string(),
-                });
-                out.finish(format_args!("{line}"));
-            }
-        });
+        .format(move |out, message, record| out.finish(format_args!("{}", line(format, &entry, message, record))));
     let dispatch = match &settings.file {
         None => dispatch.chain(std::io::stderr()),
         Some(path) => {
@@ -42,3 +37,42 @@
     };
     dispatch.apply().map_err(|source| Kind::Logging { source }.into())
 }
+
+fn line(format: LogFormat, entry: &Entry, message: &Arguments<'_>, record: &Record<'_>) -> String {
+    let number = record
+        .key_values()
+        .get(Key::from(NUMBER_KEY))
+        .and_then(|value| value.to_u64());
+    let (time, level) = (Timestamp::now(), record.level());
+    match format {
+        LogFormat::Text => {
+            let number = number.map_or_else(String::new, |number| format!("E{number} "));
+            format!(
+                "{time:.3} {level:<5} {entry} {number}{}",
+                one_line(&message.to_string())
+            )
+        }
+        LogFormat::Json => json!({
+            "time": format!("{time:.3}"),
+            "level": level.as_str(),
+            "entry": entry.as_str(),
+            "module": record.target(),
+            "event": number,
+            "message": message.to_string(),
+        })
+        .to_string(),
+    }
+}
+
+/// Escapes control characters, so that a text from a target cannot look like another line of the log.
+fn one_line(text: &str) -> String {
+    let mut line = String::with_capacity(text.len());
+    for character in text.chars() {
+        if character.is_control() {
+            line.extend(character.escape_default());
+        } else {
+            line.push(character);
+        }
+    }
+    line
+}
--- /dev/null
+++ b/crates/daemon/src/metric.rs
@@ -0,0 +1,123 @@
+//! Metrics in the text format of Prometheus at `GET /metrics`, for operators.
+
+use std::rc::Rc;
+use std::sync::OnceLock;
+use std::time::Duration;
+
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Method, Response, StatusCode};
+use linkme::distributed_slice;
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+
+use crate::access::Access;
+use crate::configuration::Current;
+use crate::error::{Error, Result};
+use crate::http::{Body, ROUTES, Route, full};
+use crate::kernel::Context;
+use crate::plugin::{PLUGINS, Plugin, Stage};
+
+/// Responses to callers and operators by status.
+pub const RESPONSES: &str = "hawthornpost_responses_total";
+/// Numbered log events by number, whether or not the log level shows them.
+pub const EVENTS: &str = "hawthornpost_events_total";
+/// The configuration version that is applied.
+pub const CONFIG_VERSION: &str = "hawthornpost_config_version";
+/// The pieces of work that are running.
+pub const RUNNING_WORK: &str = "hawthornpost_running_work";
+/// The phase of the run: 0 running, 1 leaving, 2 draining, 3 stopped.
+pub const PHASE: &str = "hawthornpost_phase";
+/// The memory of the process that is in use, in bytes.
+pub const RESIDENT_BYTES: &str = "hawthornpost_resident_bytes";
+
+/// All metrics with their descriptions; a test keeps `docs/operators.md` equal.
+pub const DESCRIPTIONS: &[(&str, &str)] = &[
+    (RESPONSES, "responses to callers and operators, by status"),
+    (EVENTS, "numbered log events, by number"),
+    (CONFIG_VERSION, "configuration version that is applied"),
+    (RUNNING_WORK, "pieces of work that are running"),
+    (PHASE, "phase of the run: 0 running, 1 leaving, 2 draining, 3 stopped"),
+    (RESIDENT_BYTES, "memory of the process that is in use, in bytes"),
+];
+
+/// Histograms keep every sample until the upkeep has merged it.
+const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
+const MEDIA_TYPE: &str = "text/plain; version=0.0.4";
+
+/// The recorder belongs to the process, so that several daemons in one test process share it.
+static RECORDER: OnceLock<PrometheusHandle> = OnceLock::new();
+
+#[distributed_slice(PLUGINS)]
+static METRIC: Plugin = Plugin {
+    name: "metric",
+    stage: Stage::Edge,
+    start,
+};
+
+#[distributed_slice(ROUTES)]
+static PAGE: Route = Route {
+    method: || Method::GET,
+    path: "/metrics",
+    // Labels may name accounts and targets, which callers must not learn.
+    access: Access::Operator,
+    handle: |context, _| Box::pin(async move { page(&context) }),
+};
+
+fn start(context: &Rc<Context>) -> Result<()> {
+    let handle = recorder()?;
+    let context = Rc::clone(context);
+    tokio::task::spawn_local(async move {
+        loop {
+            context.timer().sleep(UPKEEP_INTERVAL).await;
+            handle.run_upkeep();
+        }
+    });
+    Ok(())
+}
+
+fn recorder() -> Result<&'static PrometheusHandle> {
+    if let Some(handle) = RECORDER.get() {
+        return Ok(handle);
+    }
+    let installed = PrometheusBuilder::new().install_recorder();
+    let handle = installed.map_err(|source| {
+        Error::failed(
+            format!("the metrics cannot be recorded: {source}"),
+            "report this as a fault",
+        )
+    })?;
+    for (name, text) in DESCRIPTIONS {
+        metrics::describe_gauge!(*name, *text);
+        metrics::describe_counter!(*name, *text);
+    }
+    Ok(RECORDER.get_or_init(|| handle))
+}
+
+/// Counts a response.
+pub fn count_response(status: StatusCode) {
+    metrics::counter!(RESPONSES, "status" => status.as_u16().to_string()).increment(1);
+}
+
+/// Counts a numbered log event.
+pub fn count_event(number: u16) {
+    metrics::counter!(EVENTS, "event" => number.to_string()).increment(1);
+}
+
+fn page(context: &Context) -> Result<Response<Body>> {
+    metrics::gauge!(CONFIG_VERSION).set(context.part::<Current>().version() as f64);
+    metrics::gauge!(RUNNING_WORK).set(context.running_work() as f64);
+    metrics::gauge!(PHASE).set(f64::from(context.phase() as u8));
+    metrics::gauge!(RESIDENT_BYTES).set(resident_bytes() as f64);
+    let mut response = Response::new(full(recorder()?.render()));
+    let media_type = HeaderValue::from_static(MEDIA_TYPE);
+    response.headers_mut().insert(CONTENT_TYPE, media_type);
+    Ok(response)
+}
+
+/// Returns the resident memory from the process table, or 0 where there is none.
+fn resident_bytes() -> u64 {
+    const KIB: u64 = 1 << 10;
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kib = line.and_then(|line| line.trim().trim_end_matches("kB").trim().parse::<u64>().ok());
+    kib.unwrap_or_default() * KIB
+}
--- a/crates/daemon/src/problem.rs
+++ b/crates/daemon/src/problem.rs
@@ -16,6 +16,7 @@
     title: &'static str,
     status: u16,
     detail: String,
+    remedy: String,
     code: &'static str,
     error: Compatible,
     #[serde(skip)]
@@ -34,21 +35,24 @@
     /// Describes an error.
     pub fn new(error: &Error) -> Self {
         let (status, code, title) = classify(error.kind());
-        let detail = error.to_string();
+        let message = error.to_string();
+        // The messages of all errors have the form `problem; remedy`.
+        let (detail, remedy) = message.rsplit_once("; ").unwrap_or((&message, ""));
         Self {
             r#type: format!("urn:hawthornpost:problem:{code}"),
             title,
             status: status.as_u16(),
-            detail: detail.clone(),
+            detail: detail.to_owned(),
+            remedy: remedy.to_owned(),
             code,
             error: Compatible {
-                message: detail,
                 r#type: if status.is_server_error() {
                     "server_error"
                 } else {
                     "invalid_request_error"
                 },
                 code,
+                message,
             },
             retry_after: retry_after(error.kind()),
         }
@@ -73,6 +77,11 @@
         Kind::Core(error) => classify_core(error.category()),
         Kind::BadRequest { .. } => (StatusCode::BAD_REQUEST, "bad_request", "The request cannot be read"),
         Kind::TooLarge { .. } => (StatusCode::PAYLOAD_TOO_LARGE, "too_large", "The request is too large"),
+        Kind::LargeHead { .. } => (
+            StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            "large_head",
+            "The request headers are too large",
+        ),
         Kind::SlowBody { .. } => (
             StatusCode::REQUEST_TIMEOUT,
             "slow_body",
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -98,6 +98,8 @@
 pub struct LimitSettings {
     /// The largest request body in bytes.
     pub body_bytes: usize,
+    /// The bytes of request bodies that may be arriving at the same time in the process.
+    pub request_bytes: usize,
     /// The time within which request headers have to arrive.
     pub header_timeout: Duration,
     /// The time within which a request body has to arrive.
@@ -291,6 +293,7 @@
     };
     let settings = LimitSettings {
         body_bytes: bytes(&mut section, "body_bytes", 1 << 20)?,
+        request_bytes: bytes(&mut section, "request_bytes", 64 << 20)?,
         header_timeout: section
             .millis("header_timeout_ms", 5_000, 100..=60_000)
             .map_err(Kind::Core)?,
@@ -313,6 +316,11 @@
             .map_err(Kind::Core)?,
         connections: bytes(&mut section, "connections", 20_000)?,
     };
+    if settings.request_bytes < settings.body_bytes {
+        let value = settings.request_bytes.to_string();
+        let remedy = "set it to at least `body_bytes`, so that the largest body fits";
+        return Err(Kind::Core(section.error("request_bytes", &value, "is too small", remedy)).into());
+    }
     section.finish().map_err(Kind::Core)?;
     Ok(settings)
 }
--- /dev/null
+++ b/crates/daemon/tests/event.rs
@@ -0,0 +1,78 @@
+//! Guards against a catalogue that misleads operators: one that lacks an event or has other numbers, levels or texts.
+
+use hawthornpost_daemon::event::CATALOGUE;
+use hawthornpost_daemon::metric::DESCRIPTIONS;
+
+/// Returns the rows of the tables whose first column satisfies the condition.
+fn rows(page: &str, is_key: impl Fn(&str) -> bool) -> Vec<Vec<String>> {
+    let lines = page
+        .lines()
+        .filter_map(|line| line.strip_prefix("| ")?.strip_suffix(" |"));
+    let rows = lines.map(|line| line.split(" | ").map(|cell| cell.trim().to_owned()).collect::<Vec<_>>());
+    rows.filter(|row| is_key(&row[0])).collect()
+}
+
+#[test]
+fn the_catalogue_lists_every_event() {
+    let listed = rows(include_str!("../../../docs/events.md"), |key| {
+        key.parse::<u16>().is_ok()
+    });
+    let expected = CATALOGUE
+        .iter()
+        .map(|event| vec![event.number.to_string(), event.level.to_string(), event.text.to_owned()]);
+    let without_remedy = listed.iter().map(|row| row[..3].to_vec()).collect::<Vec<_>>();
+    assert_eq!(without_remedy, expected.collect::<Vec<_>>());
+    assert!(
+        listed.iter().all(|row| row.len() == 4 && !row[3].is_empty()),
+        "every event says what to do"
+    );
+}
+
+#[test]
+fn numbers_are_unique_and_sorted() {
+    assert!(CATALOGUE.is_sorted_by(|left, right| left.number < right.number));
+}
+
+#[test]
+fn the_operators_page_lists_every_metric() {
+    let listed = rows(include_str!("../../../docs/operators.md"), |key| {
+        key.starts_with("`hawthornpost_")
+    });
+    let expected = DESCRIPTIONS
+        .iter()
+        .map(|(name, text)| vec![format!("`{name}`"), (*text).to_owned()]);
+    assert_eq!(listed, expected.collect::<Vec<_>>());
+}
+
+/// Guards against a setting that operators cannot find: every key that the program reads stands in the manual.
+#[test]
+fn the_operators_page_names_every_key() {
+    let page = include_str!("../../../docs/operators.md");
+    for (file, source) in [
+        ("settings", include_str!("../src/settings.rs")),
+        ("rules", include_str!("../../core/src/rules.rs")),
+    ] {
+        let keys = keys(source);
+        assert!(keys.len() >= 10, "{file}: {keys:?}");
+        let missing = keys.iter().filter(|key| !page.contains(&format!("`{key}`")));
+        assert_eq!(missing.collect::<Vec<_>>(), Vec::<&&str>::new(), "{file}");
+    }
+}
+
+/// Returns the keys that a source file reads, as in `section.required("key", ...)` and `bytes(&mut section, "key", ...)`.
+fn keys(source: &str) -> Vec<&str> {
+    let after = |reader: &'static str| source.split(reader).skip(1).map(str::trim_start);
+    let calls = [
+        ".required(",
+        ".default(",
+        ".optional(",
+        ".millis(",
+        ".number(",
+        ".list::<String>(",
+        ".list(",
+    ];
+    let direct = calls.into_iter().flat_map(after);
+    let direct = direct.chain(after("bytes(&mut section, "));
+    let quoted = direct.filter_map(|text| text.strip_prefix('"')?.split_once('"'));
+    quoted.map(|(key, _)| key).collect()
+}
