--- /dev/null
+++ b/crates/cli/tests/examples.rs
@@ -0,0 +1,15 @@
+//! Guards against examples that the program refuses or that no longer have the sizes of the users.
+
+mod common;
+
+use common::{run, stderr, stdout};
+use test_case::test_case;
+
+#[test_case("omaruru", "23 targets, 10 accounts, 2 models, 1 services, 1 rollouts"; "omaruru")]
+#[test_case("caledonian", "38 targets, 10 accounts, 2 models, 1 services, 0 rollouts"; "caledonian")]
+fn examples_are_valid(name: &str, sizes: &str) {
+    let directory = format!("{}/../../examples/{name}", env!("CARGO_MANIFEST_DIR"));
+    let (inventory, rules) = (format!("{directory}/assets.csv"), format!("{directory}/rules.ini"));
+    let output = run(&["validate", "--inventory", &inventory, "--rules", &rules], "");
+    assert_eq!(stdout(&output), format!("valid: {sizes}\n"), "{}", stderr(&output));
+}
