--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -48,7 +48,6 @@
         problem: String,
         remedy: String,
     },
-    #[expect(dead_code, reason = "used by the import of asset registers")]
     #[error("asset register, line {line}: {problem}; {remedy}")]
     Register { line: u64, problem: String, remedy: String },
     #[error("a chunk has token ids and text offsets that do not match; check the engine's version")]
@@ -59,9 +58,10 @@
     NotReleased { released: u32 },
     #[error("too many bytes wait for slow readers; read open streams or resume later")]
     BacklogFull,
-    #[expect(dead_code, reason = "used by the decoder of configuration chunks")]
     #[error("the configuration cannot be decoded: {source}; apply it again from its source files")]
     Decode { source: serde_json::Error },
+    #[error("configuration version {version}: {problem}; fetch the chunks again")]
+    Assembly { version: u64, problem: &'static str },
 }
 
 impl Error {
@@ -75,6 +75,7 @@
             | Kind::Section { .. }
             | Kind::MalformedChunk
             | Kind::Register { .. }
+            | Kind::Assembly { .. }
             | Kind::Decode { .. }
             | Kind::NotReleased { .. } => Category::Input,
             Kind::InvalidHandle => Category::Access,
