Wake the timer's driver only for earlier deadlines

Every subscription woke the driver, also when the driver already waited for an earlier deadline; each token renews a deadline, so that most wakes were idle.

--- a/crates/daemon/src/timer.rs
+++ b/crates/daemon/src/timer.rs
@@ -19,7 +19,9 @@
 pub struct Timer {
     start: Instant,
     service: RefCell<Service<Rc<Notify>>>,
+    /// Wakes the driver for a deadline that is earlier than the one it waits for.
     changed: Notify,
+    wakes_at: Cell<clock::Instant>,
     last_turn: Cell<clock::Instant>,
     paused_until: Cell<Option<clock::Instant>>,
 }
@@ -31,6 +33,7 @@
             start: Instant::now(),
             service: RefCell::default(),
             changed: Notify::new(),
+            wakes_at: Cell::default(),
             last_turn: Cell::default(),
             paused_until: Cell::default(),
         }
@@ -53,7 +56,9 @@
     pub async fn sleep_until(&self, deadline: clock::Instant) {
         let notify = Rc::new(Notify::new());
         let _subscription = self.service.borrow_mut().subscribe(deadline, Rc::clone(&notify));
-        self.changed.notify_one();
+        if deadline < self.wakes_at.get() {
+            self.changed.notify_one();
+        }
         notify.notified().await;
     }
 
@@ -95,6 +100,7 @@
     async fn wait(&self, now: clock::Instant) {
         let next = self.service.borrow().next_deadline();
         let sleep = next.map_or(LONGEST_SLEEP, |deadline| deadline.since(now).min(LONGEST_SLEEP));
+        self.wakes_at.set(now + sleep);
         tokio::select! {
             () = tokio::time::sleep(sleep) => {}
             () = self.changed.notified() => {}
