Report the loss and return of the platform and of members

The runbook needs events that tell an outage of the platform and the loss of an entry host. A test fails when the catalogue has an event that no source file writes.

--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -15,6 +15,8 @@
 /// An event as the catalogue lists it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Listed {
+    /// The name of the variant.
+    pub name: &'static str,
     /// The number.
     pub number: u16,
     /// The level.
@@ -40,7 +42,7 @@
 
         /// All events in the order of their numbers.
         pub const CATALOGUE: &[Listed] = &[
-            $(Listed { number: $number, level: Level::$level, text: $text },)+
+            $(Listed { name: stringify!($name), number: $number, level: Level::$level, text: $text },)+
         ];
 
         impl Event<'_> {
@@ -84,6 +86,14 @@
     201 Info ConfigurationApplied { version } "configuration version {version} is applied"
     /// The configuration cannot be read.
     202 Warn ConfigurationUnread { error } "cannot read the configuration: {error}"
+    /// Calls to the platform fail.
+    211 Warn PlatformLost { error } "the platform does not answer: {error}"
+    /// Calls to the platform succeed again.
+    212 Info PlatformBack {} "the platform answers again"
+    /// Another entry host is part of the deployment.
+    301 Info MemberFound { entry, address } "entry {entry} at {address} is reachable"
+    /// Another entry host cannot be called.
+    302 Warn MemberLost { entry, error } "entry {entry} is not reachable: {error}"
     /// One attempt ended without the whole answer.
     401 Warn AttemptFailed { request, target, error } "request {request}: the attempt at {target} failed: {error}"
     /// The caller is told that its answer is not whole.
--- a/crates/daemon/src/members.rs
+++ b/crates/daemon/src/members.rs
@@ -13,6 +13,7 @@
 
 use crate::configuration::Current;
 use crate::error::Result;
+use crate::event::Event;
 use crate::kernel::{Context, Phase};
 use crate::peer::{self, METHODS, Method};
 use crate::plugin::{PLUGINS, Plugin, Stage};
@@ -109,12 +110,18 @@
     loop {
         match client.call::<Member>(seed, "member_ping", &()).await {
             Ok(member) => {
+                if known.is_none() {
+                    let (entry, address) = (&member.entry, &member.callers);
+                    Event::MemberFound { entry, address }.log();
+                }
                 known = Some(member.entry.clone());
                 members.others.borrow_mut().insert(member.entry.clone(), member);
             }
             Err(error) => {
                 log::debug!("{error}");
                 if let Some(entry) = known.take() {
+                    let (lost, error) = (&entry, &error);
+                    Event::MemberLost { entry: lost, error }.log();
                     members.others.borrow_mut().remove(&entry);
                 }
             }
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -1,5 +1,6 @@
 //! Client of the platform's object API.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use hyper::{Method, StatusCode};
@@ -9,6 +10,7 @@
 
 use crate::client;
 use crate::error::{Error, Result};
+use crate::event::Event;
 use crate::kernel::Context;
 use crate::plugin::{PLUGINS, Plugin, Stage};
 
@@ -52,6 +54,7 @@
 #[derive(Debug)]
 pub struct Client {
     context: Rc<Context>,
+    is_lost: Cell<bool>,
 }
 
 #[derive(Deserialize)]
@@ -132,7 +135,18 @@
             None => client::request(method, path),
         };
         let limit = self.context.settings().platform.timeout;
-        client::exchange(self.context.timer(), limit, self.address(), request).await
+        let result = client::exchange(self.context.timer(), limit, self.address(), request).await;
+        self.report(result.as_ref().err());
+        result
+    }
+
+    /// Reports the first call that fails and the first that succeeds again.
+    fn report(&self, error: Option<&Error>) {
+        match (error, self.is_lost.replace(error.is_some())) {
+            (Some(error), false) => Event::PlatformLost { error }.log(),
+            (None, true) => Event::PlatformBack {}.log(),
+            (Some(_), true) | (None, false) => {}
+        }
     }
 
     fn refused(&self, status: StatusCode, body: &[u8]) -> Error {
@@ -155,6 +169,7 @@
 fn start(context: &Rc<Context>) -> Result<()> {
     let client = Client {
         context: Rc::clone(context),
+        is_lost: Cell::new(false),
     };
     context.provide(Rc::new(client));
     Ok(())
--- a/crates/daemon/tests/bad_input.rs
+++ b/crates/daemon/tests/bad_input.rs
@@ -227,6 +227,37 @@
     });
 }
 
+/// Guards against an outage that is reported for every call, or never.
+#[test]
+fn an_outage_of_the_platform_is_reported_once() {
+    support::run(async {
+        let network = Network::new();
+        let platform = support::platform(network, &support::document(network, 1, 1));
+        let daemon = Daemon::start(network, 0, 1, "");
+        daemon.ready().await;
+        let count = async |number: u16| {
+            let page = support::get(daemon.address, "/metrics", Some(OPERATOR_KEY))
+                .await
+                .expect("an answer")
+                .1;
+            let page = String::from_utf8_lossy(&page).into_owned();
+            let name = format!("hawthornpost_events_total{{event=\"{number}\"}} ");
+            page.lines()
+                .find_map(|line| line.strip_prefix(&name)?.parse::<u64>().ok())
+                .unwrap_or_default()
+        };
+        for (outage, number) in [(true, 211), (false, 212)] {
+            platform
+                .set_faults(&serde_json::json!({ "outage": outage }))
+                .expect("a fault");
+            support::wait_for("the event", async || count(number).await == 1).await;
+        }
+        // Several polls failed meanwhile.
+        assert!(count(202).await >= 1);
+        assert_eq!(count(211).await, 1);
+    });
+}
+
 const VALID: &str = "[entry]\nname = e1\ndata_centre = perth\nregion = north\nlisten = 127.0.0.1:7101\n\
     [platform]\naddress = 127.0.0.1:7001\n[peers]\nlisten = 127.0.0.1:7201\nkey = a-key-that-is-long-enough\n\
     [operators]\nkey_hashes =\n";
--- a/crates/daemon/tests/event.rs
+++ b/crates/daemon/tests/event.rs
@@ -1,6 +1,6 @@
 //! Guards against a catalogue that misleads operators: one that lacks an event or has other numbers, levels or texts.
 
-use hawthornpost_daemon::event::CATALOGUE;
+use hawthornpost_daemon::event::{CATALOGUE, Listed};
 use hawthornpost_daemon::metric::DESCRIPTIONS;
 
 /// Returns the rows of the tables whose first column satisfies the condition.
@@ -33,6 +33,19 @@
     assert!(CATALOGUE.is_sorted_by(|left, right| left.number < right.number));
 }
 
+/// Guards against an event that operators wait for and that the program never writes.
+#[test]
+fn every_event_is_written_somewhere() {
+    let directory = concat!(env!("CARGO_MANIFEST_DIR"), "/src");
+    let files = std::fs::read_dir(directory).expect("the sources");
+    let sources = files.map(|file| std::fs::read_to_string(file.expect("a file").path()).expect("a source"));
+    let sources = sources.collect::<String>();
+    let unwritten = CATALOGUE
+        .iter()
+        .filter(|event| !sources.contains(&format!("Event::{} {{", event.name)));
+    assert_eq!(unwritten.collect::<Vec<_>>(), Vec::<&Listed>::new());
+}
+
 #[test]
 fn the_operators_page_lists_every_metric() {
     let listed = rows(include_str!("../../../docs/operators.md"), |key| {
