--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,156 @@
+#!/usr/bin/env bash
+# Shows hawthornpost on one machine: stand-ins for the platform, two engines and a booking service, and three entry
+# hosts on loopback. Streams a generation, kills its engine in the middle, checks that the answer is whole, and books once.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+# 127.0.0.0/24 is left to other programs.
+net=127.77.7
+prompt="Field log of the crew at mound 12: cleared, two photographs, one find"
+account_key=demo-key-of-the-crews-account
+operator_key=demo-key-of-the-operators
+work=$(mktemp -d)
+declare -A pids=()
+
+finish() {
+  local code=$?
+  for pid in "${pids[@]}"; do
+    kill "$pid" 2>/dev/null || true
+  done
+  wait 2>/dev/null || true
+  if [ "$code" -ne 0 ]; then
+    echo "demo: failed; the logs are in $work" >&2
+  else
+    rm -rf "$work"
+  fi
+}
+trap finish EXIT
+
+start() { # NAME COMMAND...
+  local name=$1
+  shift
+  "$@" >"$work/$name.log" 2>&1 &
+  pids[$name]=$!
+}
+
+# Prints the body of an answer. Bash opens the connection, so that the demo needs no HTTP client.
+http() { # IP:PORT METHOD PATH [BODY] [HEADER]...
+  local address=$1 method=$2 path=$3 body=${4:-} text header
+  text="$method $path HTTP/1.1"$'\r\n'"host: $address"$'\r\n'"connection: close"$'\r\n'
+  for header in "${@:5}"; do
+    text+="$header"$'\r\n'
+  done
+  exec 3<>"/dev/tcp/${address%:*}/${address#*:}"
+  printf '%scontent-length: %s\r\n\r\n%s' "$text" "${#body}" "$body" >&3
+  sed '1,/^\r$/d' <&3
+  exec 3>&-
+}
+
+wait_until() { # DESCRIPTION COMMAND...
+  local what=$1
+  shift
+  for _ in $(seq 300); do
+    if "$@" >/dev/null 2>&1; then
+      return 0
+    fi
+    sleep 0.1
+  done
+  echo "demo: waited too long for $what" >&2
+  return 1
+}
+
+echo "== build"
+cargo build --workspace --bins --locked --quiet
+bin=${CARGO_TARGET_DIR:-target}/debug
+export HAWTHORNPOST_ENTRIES=$net.11:7101,$net.12:7101,$net.13:7101
+
+echo "== start platform, engines, booking service and three entry hosts"
+cat >"$work/assets.csv" <<END
+name,address,data_centre,role,version,model,capacity_tokens,fencing,service,status_lookup
+engine-1,$net.21:8001,dc1,engine,v1,reports,200000,checked,,
+engine-2,$net.22:8001,dc2,engine,v1,reports,200000,checked,,
+booking-1,$net.31:8101,dc1,service,v1,,,,booking,yes
+END
+cat >"$work/rules.ini" <<END
+[account crews]
+key_hash = $("$bin/hawthornpost" hash-key <<<"$account_key")
+
+[model reports]
+version = v1
+
+[service booking]
+END
+"$bin/hawthornpost" validate --inventory "$work/assets.csv" --rules "$work/rules.ini"
+
+hash=$("$bin/hawthornpost" hash-key <<<"$account_key")
+cat >"$work/objects" <<END
+[{"plural": "configheads", "metadata": {"name": "current"}, "spec": {"document": {
+  "version": 1,
+  "inventory": $("$bin/hawthornpost" --json import "$work/assets.csv"),
+  "rules": {
+    "accounts": {"crews": {"key_hash": "$hash", "priority": 5, "share": 10}},
+    "models": {"reports": {"version": "v1", "max_tokens": 4096}},
+    "services": {"booking": {"timeout_ms": 10000}},
+    "rollouts": {}
+  }
+}}}]
+END
+start platform "$bin/standin-platform" --listen $net.1:7001 --objects "$work/objects"
+for n in 1 2; do
+  start "engine-$n" "$bin/standin-engine" --listen "$net.2$n:8001" --model reports --version v1 \
+    --gap 20 --min-answer 200 --max-answer 200 --seed "$n"
+done
+start booking "$bin/standin-service" --listen $net.31:8101 --service booking --status-lookup
+for n in 1 2 3; do
+  seeds=$(for m in 1 2 3; do [ "$m" = "$n" ] || echo "$net.1$m:7201"; done | paste -sd,)
+  cat >"$work/entry-$n.ini" <<END
+[entry]
+name = entry-$n
+data_centre = dc$n
+region = demo
+listen = $net.1$n:7101
+[platform]
+address = $net.1:7001
+poll_ms = 500
+[peers]
+listen = $net.1$n:7201
+seeds = $seeds
+key = demo-peer-key-of-three-hosts
+[operators]
+key_hashes = $("$bin/hawthornpost" hash-key <<<"$operator_key")
+[limits]
+address_lifetime_ms = 1000
+END
+  "$bin/hawthornpostd" --check --config "$work/entry-$n.ini" >/dev/null
+  start "entry-$n" "$bin/hawthornpostd" --config "$work/entry-$n.ini"
+done
+operate() { HAWTHORNPOST_KEY=$operator_key "$bin/hawthornpost" "$@"; }
+call() { HAWTHORNPOST_KEY=$account_key "$bin/hawthornpost" "$@"; }
+wait_until "the entry hosts" operate dump
+
+echo "== stream a generation and kill its engine in the middle"
+call send --model reports --prompt "$prompt" >"$work/answer" &
+reader=$!
+wait_until "half of the answer" sh -c "[ \$(wc -w <'$work/answer') -ge 80 ]"
+for n in 1 2; do
+  if http "$net.2$n:8001" GET /standin/stats | grep -q '"running":1'; then
+    echo "engine-$n has the generation; it is killed after $(wc -w <"$work/answer") tokens"
+    # The shell would report the death of its job; waiting for it here keeps that out of the output.
+    { kill -9 "${pids[engine-$n]}" && wait "${pids[engine-$n]}"; } 2>/dev/null || true
+    unset "pids[engine-$n]"
+    break
+  fi
+done
+wait "$reader"
+"$bin/standin-verify" --prompt "$prompt" <"$work/answer"
+
+echo "== book once"
+for _ in 1 2; do
+  http $net.11:7101 POST /v1/services/booking/plots/12 '{"plot": 12}' "authorization: Bearer $account_key" \
+    "idempotency-key: plot-12"
+  echo
+done
+runs=$(http $net.31:8101 GET /standin/stats | grep -o '"runs":[0-9]*')
+echo "two requests with one key: $runs"
+[ "$runs" = '"runs":1' ]
+echo "== done"
