--- a/crates/standins/tests/engine.rs
+++ b/crates/standins/tests/engine.rs
@@ -139,3 +139,56 @@
         assert_eq!(engine.stats()["counters"]["overflows"], 1);
     });
 }
+
+/// Guards H1 and H2 in the daemon's tests: the faults of a stream change exactly what they name.
+#[test]
+fn faults_repeat_cross_and_drop_frames() {
+    run(async {
+        for (fault, expected) in [
+            ("duplicate", vec![0, 0, 1]),
+            ("cross", vec![0, 0, 1]),
+            ("drop", vec![1]),
+        ] {
+            let engine = engine(1);
+            engine
+                .set_faults(&json!({ fault: { "share": 1.0, "count": 1 } }))
+                .unwrap();
+            let mut lines = start(&engine, 1, &[]).await;
+            let mut frames = Vec::new();
+            while frames.last().is_none_or(|last: &Frame| last.first < 1) {
+                frames.push(frame(&mut lines).await.unwrap());
+            }
+            assert_eq!(
+                frames.iter().map(|frame| frame.first).collect::<Vec<_>>(),
+                expected,
+                "{fault}"
+            );
+            let foreign = frames.iter().filter(|frame| frame.id.to_string() != ID).count();
+            assert_eq!(foreign, usize::from(fault == "cross"));
+        }
+    });
+}
+
+#[test]
+fn cache_events_cover_the_blocks_of_a_prompt() {
+    run(async {
+        let engine = engine(1);
+        let mut lines = start(&engine, 1, &[]).await;
+        frame(&mut lines).await.unwrap();
+        let path = "/v1/cache-events?from=0";
+        let mut events = Vec::new();
+        while events.len() < 2 {
+            let answer = open(engine.address(), "GET", path, &[], String::new()).await.unwrap();
+            let mut lines = Lines::new(answer);
+            events.clear();
+            while let Some(line) = lines.next().await {
+                events.push(serde_json::from_str::<Value>(&line).unwrap());
+            }
+        }
+        assert_eq!(
+            (&events[0]["kind"], &events[1]["kind"]),
+            (&json!("cleared"), &json!("stored"))
+        );
+        assert_eq!(events[1]["blocks"], json!(engine::block_hashes(PROMPT)));
+    });
+}
