--- a/crates/daemon/tests/bad_input.rs
+++ b/crates/daemon/tests/bad_input.rs
@@ -227,6 +227,45 @@
     });
 }
 
+/// Guards against log lines that a collector cannot read or that lack the number of the event.
+#[test]
+fn json_log_lines_carry_time_level_and_number() {
+    support::run(async {
+        let network = Network::new();
+        let _platform = support::platform(network, &support::document(network, 1, 1));
+        let directory = tempfile::tempdir().expect("a directory");
+        let path = directory.path().join("log");
+        let settings = format!("format = json\nfile = {}\n", path.display());
+        // The settings of a test end in the section [log] with the level warn.
+        let daemon = Daemon::start(network, 0, 1, &settings);
+        daemon.ready().await;
+        let (status, _) = support::send(
+            daemon.address,
+            support::request(
+                hyper::Method::POST,
+                "/v1/completions",
+                Some(ACCOUNT_KEY),
+                body("reports", ""),
+            ),
+        )
+        .await
+        .expect("an answer");
+        assert_eq!(status, 200, "the stream begins before an engine is found");
+        let lines = async || std::fs::read_to_string(&path).unwrap_or_default();
+        support::wait_for("the event", async || lines().await.contains("402")).await;
+        for line in lines().await.lines() {
+            let line = serde_json::from_str::<Value>(line).expect("JSON");
+            assert!(line["time"].as_str().is_some_and(|time| time.ends_with('Z')), "{line}");
+            assert_eq!(
+                (&line["level"], &line["entry"]),
+                (&"WARN".into(), &"entry-0".into()),
+                "{line}"
+            );
+            assert!(line["event"].is_u64(), "{line}");
+        }
+    });
+}
+
 /// Guards against an outage that is reported for every call, or never.
 #[test]
 fn an_outage_of_the_platform_is_reported_once() {
