--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -189,6 +189,10 @@
     /// One claim of an action.
     Claim
 );
+unique!(
+    /// One order to an engine.
+    Order
+);
 
 /// The number of bits of an attempt number that count attempts within one epoch.
 const ATTEMPT_BITS: u32 = 16;
--- a/crates/core/src/platform.rs
+++ b/crates/core/src/platform.rs
@@ -1,1 +1,255 @@
-//! Objects and call budget of the platform API.
+//! Shapes of the platform's object API, and the budget of calls to it.
+
+use std::fmt;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use serde_with::{DisplayFromStr, serde_as};
+
+use crate::clock::Instant;
+
+/// The group and version of all our objects.
+pub const API_VERSION: &str = "hawthornpost.dev/v1";
+
+/// The largest value that the platform stores, in bytes.
+pub const MAX_VALUE_BYTES: usize = 1_000_000;
+
+/// A kind of object, named as in paths.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Plural {
+    /// The head of the configuration.
+    ConfigHeads,
+    /// The parts of configuration versions.
+    ConfigChunks,
+    /// The shards of claims and their sealed segments.
+    Claims,
+    /// Leases.
+    Leases,
+    /// The entry hosts, as they announce themselves.
+    Entries,
+    /// The verdicts about rollouts.
+    Verdicts,
+    /// The platform's own list of hosts.
+    Hosts,
+}
+
+impl Plural {
+    /// Returns the name in paths.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::ConfigHeads => "configheads",
+            Self::ConfigChunks => "configchunks",
+            Self::Claims => "claims",
+            Self::Leases => "leases",
+            Self::Entries => "entries",
+            Self::Verdicts => "verdicts",
+            Self::Hosts => "hosts",
+        }
+    }
+
+    /// Returns the `kind` field of the objects.
+    pub const fn kind(self) -> &'static str {
+        match self {
+            Self::ConfigHeads => "ConfigHead",
+            Self::ConfigChunks => "ConfigChunk",
+            Self::Claims => "Claim",
+            Self::Leases => "Lease",
+            Self::Entries => "Entry",
+            Self::Verdicts => "Verdict",
+            Self::Hosts => "Host",
+        }
+    }
+
+    /// Returns the path of the collection, or of one object in it.
+    ///
+    /// ```
+    /// use hawthornpost_core::platform::Plural;
+    ///
+    /// assert_eq!(Plural::Leases.path(Some("orders")), "/apis/hawthornpost.dev/v1/leases/orders");
+    /// ```
+    pub fn path(self, name: Option<&str>) -> String {
+        let plural = self.as_str();
+        match name {
+            None => format!("/apis/{API_VERSION}/{plural}"),
+            Some(name) => format!("/apis/{API_VERSION}/{plural}/{name}"),
+        }
+    }
+}
+
+/// The version of an object; it grows with every write.
+#[serde_as]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Version(#[serde_as(as = "DisplayFromStr")] u64);
+
+impl Version {
+    /// Returns the number.
+    pub const fn as_u64(self) -> u64 {
+        self.0
+    }
+}
+
+impl From<u64> for Version {
+    fn from(number: u64) -> Self {
+        Self(number)
+    }
+}
+
+impl fmt::Display for Version {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
+
+/// An object with its metadata.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Object<S> {
+    /// The group and version, [`API_VERSION`].
+    pub api_version: String,
+    /// The kind, as [`Plural::kind`] returns it.
+    pub kind: String,
+    /// The name and the version.
+    pub metadata: Metadata,
+    /// The contents.
+    pub spec: S,
+}
+
+/// The name and the version of an object.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Metadata {
+    /// The name, unique in its collection.
+    #[serde(default)]
+    pub name: String,
+    /// The version that an update is conditional on; absent in an object that is to be created.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub resource_version: Option<Version>,
+}
+
+impl<S> Object<S> {
+    /// Creates an object that is to be written over the given version, or created when there is none.
+    pub fn new(plural: Plural, name: impl Into<String>, base: Option<Version>, spec: S) -> Self {
+        Self {
+            api_version: API_VERSION.to_owned(),
+            kind: plural.kind().to_owned(),
+            metadata: Metadata {
+                name: name.into(),
+                resource_version: base,
+            },
+            spec,
+        }
+    }
+}
+
+/// The body of an error answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Status {
+    /// The status code.
+    pub code: u16,
+    /// Why the call failed.
+    pub reason: Reason,
+    /// Text for people.
+    #[serde(default)]
+    pub message: String,
+}
+
+/// Why a call failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reason {
+    /// An object with this name exists already.
+    AlreadyExists,
+    /// The object has another version than the update named.
+    Conflict,
+    /// There is no such object.
+    NotFound,
+    /// The version that a watch was to start from is too old.
+    Expired,
+    /// The call rate is too high.
+    TooManyRequests,
+    /// Any other reason.
+    #[serde(other)]
+    Other,
+}
+
+/// One event of a watch.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "type", content = "object", rename_all = "UPPERCASE")]
+pub enum Change<S> {
+    /// An object was created.
+    Added(Object<S>),
+    /// An object was updated.
+    Modified(Object<S>),
+    /// An object was deleted.
+    Deleted(Object<S>),
+    /// Nothing changed up to this version; it also shows that the connection is alive.
+    Bookmark(Bookmark),
+    /// The watch ended.
+    Error(Status),
+}
+
+/// The contents of a bookmark event.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Bookmark {
+    /// Holds the version only.
+    pub metadata: Metadata,
+}
+
+/// Why a call had no answer of the expected kind.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Failure {
+    /// The object had another version, or existed already; the call had no effect.
+    Conflict,
+    /// There is no such object; the call had no effect.
+    Missing,
+    /// The call was not sent or was refused as a whole; it had no effect and will have none.
+    Refused,
+    /// The call was sent and its answer is missing; it may have had an effect, or may still have one.
+    Lost,
+}
+
+/// Limits the rate of calls.
+///
+/// ```
+/// use hawthornpost_core::{clock::Instant, platform::Budget};
+///
+/// let mut budget = Budget::new(10, 1);
+/// assert!(budget.take(Instant::ZERO));
+/// assert!(!budget.take(Instant::ZERO));
+/// assert!(budget.take(Instant::from_millis(100)));
+/// ```
+#[derive(Clone, Debug)]
+pub struct Budget {
+    interval: Duration,
+    burst: Duration,
+    // The time at which the calls made so far would end if they were evenly spaced.
+    spent_until: Instant,
+}
+
+impl Budget {
+    /// Creates a budget of `per_second` calls, of which `burst` may be made at once.
+    pub fn new(per_second: u32, burst: u32) -> Self {
+        let interval = Duration::from_secs(1) / per_second.max(1);
+        Self {
+            interval,
+            burst: interval * burst.max(1),
+            spent_until: Instant::ZERO,
+        }
+    }
+
+    /// Takes one call if the budget allows it now.
+    pub fn take(&mut self, now: Instant) -> bool {
+        let spent_until = self.spent_until.max(now) + self.interval;
+        let allowed = spent_until.since(now) <= self.burst;
+        if allowed {
+            self.spent_until = spent_until;
+        }
+        allowed
+    }
+
+    /// Returns when the next call is allowed.
+    pub fn ready_at(&self, now: Instant) -> Instant {
+        let wait = (self.spent_until.since(now) + self.interval).saturating_sub(self.burst);
+        now + wait
+    }
+}
