Add routing, prefix index, subsets, retry budgets and discovery

The choice of a target is the expected time until the first token, from the uncached part of the prompt, own pending work, the fading load report, distance and suspicion; targets that leave are left out. The prefix index keeps two generations of blocks per target, so that it is bounded, ages out and drops doubtful blocks after a second gap in the events.

Preferring entries behind the mean gives a spread of at most 3; the test in crates/core/tests/route.rs asserts it.

--- a/crates/core/src/discovery.rs
+++ b/crates/core/src/discovery.rs
@@ -1,1 +1,111 @@
 //! The entry addresses that callers are told to use.
+//!
+//! Callers keep the addresses for a lifetime. An entry that leaves disappears from the answers, goes on accepting until
+//! the lifetime of the last answer has passed, and then drains ([`Drain`]).
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use serde::{Deserialize, Serialize};
+
+use crate::id::{Account, DataCentre, Entry};
+
+pub use crate::discovery_drain::{Command, Drain, Event, Phase};
+
+/// The number of addresses in an answer; a caller goes on with the next one when the first does not answer.
+pub const ADDRESSES: usize = 3;
+
+/// An entry that callers can be sent to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    /// The name.
+    pub entry: Entry,
+    /// The address for callers.
+    pub address: SocketAddr,
+    /// The data centre.
+    pub data_centre: DataCentre,
+    /// The part of the callers that the entry takes, relative to the others.
+    pub weight: u32,
+    /// Whether the entry takes new work; one that leaves, is full or has just started does not.
+    pub open: bool,
+}
+
+/// The answer to a caller that asks for addresses.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Offer {
+    /// The addresses, best first.
+    pub entries: Vec<Address>,
+    /// How long the caller may keep the answer, in milliseconds.
+    pub lifetime_ms: u64,
+}
+
+/// One address of an answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Address {
+    /// The name of the entry.
+    pub entry: Entry,
+    /// The address.
+    pub address: SocketAddr,
+    /// The data centre.
+    pub data_centre: DataCentre,
+}
+
+/// Who asks for addresses.
+#[derive(Clone, Copy, Debug)]
+pub struct Caller<'a> {
+    /// The account.
+    pub account: &'a Account,
+    /// What tells the callers of an account apart, such as their network address; a large account is spread by it.
+    pub origin: &'a str,
+}
+
+/// Chooses the addresses for a caller by weighted rendezvous hashing.
+///
+/// A caller keeps its first address as long as that entry is there, so the loss of one entry moves only its own
+/// callers, and spreads them over all others.
+pub fn offer(caller: Caller<'_>, candidates: &[Candidate], lifetime: Duration) -> Offer {
+    let mut ranked = candidates
+        .iter()
+        .filter(|candidate| candidate.open && candidate.weight > 0)
+        .map(|candidate| (score(caller, candidate), candidate))
+        .collect::<Vec<_>>();
+    ranked.sort_by(|(one, first), (other, second)| other.total_cmp(one).then(first.entry.cmp(&second.entry)));
+    Offer {
+        entries: ranked
+            .into_iter()
+            .take(ADDRESSES)
+            .map(|(_, candidate)| candidate.into())
+            .collect(),
+        lifetime_ms: u64::try_from(lifetime.as_millis()).unwrap_or(u64::MAX),
+    }
+}
+
+/// Returns the address that a full or leaving entry passes a caller on to.
+pub fn other(caller: Caller<'_>, candidates: &[Candidate], own: &Entry) -> Option<Address> {
+    let others = candidates.iter().filter(|candidate| candidate.entry != *own);
+    let others = others.cloned().collect::<Vec<_>>();
+    offer(caller, &others, Duration::ZERO).entries.into_iter().next()
+}
+
+impl From<&Candidate> for Address {
+    fn from(candidate: &Candidate) -> Self {
+        Self {
+            entry: candidate.entry.clone(),
+            address: candidate.address,
+            data_centre: candidate.data_centre.clone(),
+        }
+    }
+}
+
+/// The score of weighted rendezvous hashing: -weight / ln(u) with u uniform in (0, 1).
+fn score(caller: Caller<'_>, candidate: &Candidate) -> f64 {
+    let mut hasher = blake3::Hasher::new();
+    for part in [caller.account.as_str(), caller.origin, candidate.entry.as_str()] {
+        hasher.update(part.as_bytes());
+        hasher.update(&[0]);
+    }
+    let uniform = SmallRng::from_seed(*hasher.finalize().as_bytes()).random_range(f64::EPSILON..1.0);
+    -f64::from(candidate.weight) / uniform.ln()
+}
--- /dev/null
+++ b/crates/core/tests/retry.rs
@@ -0,0 +1,50 @@
+//! Retry budgets.
+
+use std::time::Duration;
+
+use hawthornpost_core::clock::Instant;
+use hawthornpost_core::id::{Account, Target};
+use hawthornpost_core::retry::Budget;
+use test_case::test_case;
+
+fn names() -> (Target, Account) {
+    ("engine".parse().unwrap(), "crews".parse().unwrap())
+}
+
+/// Guards against a storm: when every try fails and is retried, retries stay a tenth of the first tries.
+#[test_case(100, 20; "few tries have what was saved up")]
+#[test_case(1000, 110; "many tries have a tenth")]
+fn retries_are_a_part_of_the_first_tries(tries: usize, expected: usize) {
+    let (target, account) = names();
+    let mut budget = Budget::default();
+    let retries = (0..tries).filter(|_| {
+        budget.deposit(Instant::ZERO, &target, &account);
+        budget.withdraw(Instant::ZERO, &target, &account)
+    });
+    let retries = retries.count();
+    assert!(retries.abs_diff(expected) <= 11, "{retries} retries of {tries} tries");
+}
+
+/// Guards against one account that uses up the retries of another, and against a target that does.
+#[test]
+fn accounts_and_targets_have_budgets_of_their_own() {
+    let (target, account) = names();
+    let (other_target, other_account): (Target, Account) = ("e2".parse().unwrap(), "office".parse().unwrap());
+    let mut budget = Budget::default();
+    while budget.withdraw(Instant::ZERO, &target, &account) {}
+    assert!(!budget.withdraw(Instant::ZERO, &other_target, &account));
+    assert!(!budget.withdraw(Instant::ZERO, &target, &other_account));
+    assert!(budget.withdraw(Instant::ZERO, &other_target, &other_account));
+}
+
+/// Guards against a budget that stays empty, and against memory that grows with every account seen.
+#[test]
+fn budget_recovers_and_is_forgotten() {
+    let (target, account) = names();
+    let mut budget = Budget::default();
+    while budget.withdraw(Instant::ZERO, &target, &account) {}
+    assert!(budget.withdraw(Instant::from_millis(10_001), &target, &account));
+    let later = Instant::from_start(Duration::from_secs(1000));
+    budget.deposit(later, &"e2".parse().unwrap(), &"office".parse().unwrap());
+    assert_eq!(budget.len(), 2);
+}
--- /dev/null
+++ b/crates/core/tests/route.rs
@@ -0,0 +1,200 @@
+//! Choice of targets, prefix index and subsets.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use hawthornpost_core::clock::Instant;
+use hawthornpost_core::id::{Entry, Model, Target};
+use hawthornpost_core::prefix::{Block, Bounds, Event, Index, Kind, blocks};
+use hawthornpost_core::route::{Ask, Candidate, Costs, Router, Subset};
+use hawthornpost_core::wire::Load;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use test_case::test_case;
+
+const NOW: Instant = Instant::from_millis(1000);
+
+fn targets(number: usize) -> Vec<Target> {
+    (0..number).map(|index| format!("t{index}").parse().unwrap()).collect()
+}
+
+fn load(held: u64, waiting: u32) -> Load {
+    Load {
+        model: "letters".parse().unwrap(),
+        version: "v1".parse().unwrap(),
+        tokens_held: held,
+        tokens_capacity: 10_000,
+        running: 0,
+        waiting,
+        sequence: 1,
+    }
+}
+
+struct Bench {
+    router: Router,
+    index: Index,
+    targets: Vec<Target>,
+    blocks: Vec<Block>,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let model: Model = "letters".parse().unwrap();
+        Self {
+            router: Router::new(Costs {
+                tolerance: 0.0,
+                ..Costs::default()
+            }),
+            index: Index::default(),
+            targets: targets(2),
+            blocks: blocks(&model, &"field log ".repeat(800)),
+        }
+    }
+
+    fn first(&self, free: [u64; 2], distance_ms: [u64; 2], priority: u8) -> Option<&str> {
+        let ask = Ask {
+            prompt: 2_000,
+            tokens: 3_000,
+            blocks: &self.blocks,
+            priority,
+        };
+        let candidates = self.targets.iter().enumerate().map(|(index, target)| Candidate {
+            target,
+            distance: Duration::from_millis(distance_ms[index]),
+            free: free[index],
+        });
+        let mut rng = SmallRng::seed_from_u64(1);
+        let ranked = self.router.rank(NOW, &ask, candidates, &self.index, &mut rng);
+        ranked.first().map(|target| target.as_str())
+    }
+}
+
+/// Guards against a choice that ignores one of its reasons; without the reason `t0` is at least as good as `t1`.
+#[test_case(|_| {}, "t0"; "the nearer one")]
+#[test_case(|bench| bench.index.expect(NOW, &bench.targets[1], &bench.blocks), "t1"; "the one that holds the prefix")]
+#[test_case(|bench| bench.router.report(NOW, &bench.targets[0], &load(9_000, 0)), "t1"; "the one with less load")]
+#[test_case(|bench| bench.router.report(Instant::ZERO, &bench.targets[0], &load(100, 2)), "t1"; "the one without a queue")]
+#[test_case(|bench| bench.router.started(&bench.targets[0], 5_000), "t1"; "the one with less own work")]
+#[test_case(|bench| bench.router.mark_leaving(&bench.targets[0], true), "t1"; "the one that stays")]
+#[test_case(|bench| bench.router.suspect(NOW, &bench.targets[0], Duration::from_secs(5)), "t1"; "the one that works")]
+fn choice(reason: fn(&mut Bench), expected: &str) {
+    let mut bench = Bench::new();
+    reason(&mut bench);
+    assert_eq!(bench.first([9_000, 9_000], [1, 2], 5), Some(expected));
+}
+
+/// Guards against a full target that is chosen before one with room, and against one that is never tried again.
+#[test]
+fn target_without_room_comes_last() {
+    let bench = Bench::new();
+    assert_eq!(bench.first([100, 9_000], [1, 50], 5), Some("t1"));
+    assert_eq!(bench.first([100, 100], [1, 50], 5), Some("t0"));
+}
+
+/// Guards against work on a target that leaves when no other is left.
+#[test]
+fn leaving_targets_are_never_chosen() {
+    let mut bench = Bench::new();
+    for target in &bench.targets {
+        bench.router.mark_leaving(target, true);
+    }
+    assert_eq!(bench.first([9_000; 2], [1, 1], 5), None);
+}
+
+/// Guards against a report that counts long after it was made.
+#[test]
+fn old_reports_fade() {
+    let mut bench = Bench::new();
+    bench.router.report(Instant::ZERO, &bench.targets[0], &load(9_000, 0));
+    bench.router = Router::new(Costs {
+        tolerance: 0.0,
+        report_age: Duration::from_millis(900),
+        ..Costs::default()
+    });
+    bench.router.report(Instant::ZERO, &bench.targets[0], &load(9_000, 0));
+    assert_eq!(bench.first([9_000; 2], [1, 2], 5), Some("t0"));
+}
+
+/// Guards against an urgent request that queues behind others for the sake of a cached prefix.
+#[test_case(0, "t0"; "a low priority waits for the cache")]
+#[test_case(9, "t1"; "a high priority takes the idle target")]
+fn priority_weighs_load_against_the_cache(priority: u8, expected: &str) {
+    let mut bench = Bench::new();
+    bench.index.expect(NOW, &bench.targets[0], &bench.blocks);
+    bench.router.started(&bench.targets[0], 2_500);
+    assert_eq!(bench.first([9_000; 2], [1, 1], priority), Some(expected));
+}
+
+fn event(sequence: u64, kind: Kind, blocks: &[u64]) -> Event {
+    Event {
+        sequence,
+        kind,
+        blocks: blocks.iter().copied().map(Block).collect(),
+    }
+}
+
+/// Guards against a cache index that is wrong after late, missing or repeated events.
+#[test_case(&[(0, Kind::Stored, &[1, 2, 3])], 3; "a stored prefix")]
+#[test_case(&[(0, Kind::Stored, &[1, 3])], 1; "a hole ends the prefix")]
+#[test_case(&[(0, Kind::Stored, &[1, 2, 3]), (1, Kind::Removed, &[2])], 1; "a removed block")]
+#[test_case(&[(0, Kind::Stored, &[1, 2]), (1, Kind::Cleared, &[])], 0; "a cleared cache")]
+#[test_case(&[(0, Kind::Stored, &[1, 2]), (5, Kind::Stored, &[3])], 3; "a gap leaves what is known as doubtful")]
+#[test_case(&[(0, Kind::Stored, &[1, 2]), (5, Kind::Stored, &[3]), (9, Kind::Stored, &[4])], 0; "a second gap drops it")]
+#[test_case(&[(0, Kind::Stored, &[1]), (5, Kind::Stored, &[1]), (9, Kind::Stored, &[2])], 2; "what is confirmed stays")]
+#[test_case(&[(3, Kind::Removed, &[1]), (2, Kind::Stored, &[1])], 0; "a late store is not believed")]
+#[test_case(&[(3, Kind::Stored, &[1]), (2, Kind::Removed, &[1])], 0; "a late removal is")]
+fn prefix_events(events: &[(u64, Kind, &[u64])], expected: usize) {
+    let target = &targets(1)[0];
+    let mut index = Index::default();
+    for (sequence, kind, blocks) in events {
+        index.observe(NOW, target, &event(*sequence, *kind, blocks));
+    }
+    assert_eq!(index.matching(target, &[1, 2, 3].map(Block)), expected);
+}
+
+/// Guards against an index that grows without bound or never forgets.
+#[test]
+fn prefix_index_is_bounded_and_ages_out() {
+    let target = &targets(1)[0];
+    let mut index = Index::new(Bounds {
+        blocks_per_target: 100,
+        max_age: Duration::from_secs(600),
+    });
+    let many = (0..10_000).map(Block).collect::<Vec<_>>();
+    index.expect(NOW, target, &many);
+    assert!(index.len() <= 100);
+    assert_eq!(index.matching(target, &[Block(9_999)]), 1, "the newest stay");
+    for seconds in [400, 800] {
+        index.expect(Instant::from_start(Duration::from_secs(seconds)), target, &[Block(1)]);
+    }
+    assert_eq!(index.len(), 1);
+}
+
+/// Guards against subsets that leave a target short of entries or load entries unevenly.
+#[test_case(151, 390, 12; "one model of a large fleet")]
+#[test_case(700, 130, 12; "one region")]
+#[test_case(20, 8, 12; "a small fleet shares everything")]
+fn subsets_are_even(number: usize, entries: usize, sharers: usize) {
+    let targets = targets(number);
+    let entries = (0..entries)
+        .map(|index| format!("e{index}").parse().unwrap())
+        .collect::<Vec<Entry>>();
+    let (targets, entries) = (targets.iter().collect::<Vec<_>>(), entries.iter().collect::<Vec<_>>());
+    let assigned = Subset { sharers }.assign(&targets, &entries);
+    let mut counts = BTreeMap::new();
+    for shared in assigned.values() {
+        assert!(
+            shared.len() == sharers.min(entries.len()),
+            "a target has {} entries",
+            shared.len()
+        );
+        for entry in shared {
+            *counts.entry(entry).or_insert(0_usize) += 1;
+        }
+    }
+    let (least, most) = (counts.values().min().unwrap(), counts.values().max().unwrap());
+    assert!(
+        counts.len() == entries.len() && most - least <= 3,
+        "{least} to {most} targets per entry"
+    );
+}
