Convert core errors with the question mark operator

Every reading of a setting named the conversion that the error type already has; the settings module loses a third of its noise. No behaviour changes.

--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -62,7 +62,7 @@
 }
 
 fn service(context: &Context, call: &Call) -> Result<(Service, Duration)> {
-    let name = Service::new(call.parameter("service")).map_err(Kind::Core)?;
+    let name = Service::new(call.parameter("service"))?;
     let document = context.part::<Current>().document();
     let rule = document.rules.services.get(&name);
     let rule = rule.ok_or_else(|| Error::not_found(format!("service {name}"), "ask the operators for its name"))?;
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -186,12 +186,12 @@
     ///
     /// Fails with section, key, value and remedy when a setting is malformed.
     pub fn parse(text: &str) -> Result<Self> {
-        let file = File::parse(text).map_err(Kind::Core)?;
+        let file = File::parse(text)?;
         let settings = Self {
-            entry: entry(file.section("entry").map_err(Kind::Core)?)?,
-            platform: platform(file.section("platform").map_err(Kind::Core)?)?,
-            peers: peers(file.section("peers").map_err(Kind::Core)?)?,
-            operators: operators(file.section("operators").map_err(Kind::Core)?)?,
+            entry: entry(file.section("entry")?)?,
+            platform: platform(file.section("platform")?)?,
+            peers: peers(file.section("peers")?)?,
+            operators: operators(file.section("operators")?)?,
             log: log_settings(file.section("log").ok())?,
             limits: limits(file.section("limits").ok())?,
         };
@@ -209,51 +209,41 @@
 const ADDRESS: &str = "an address such as 127.0.0.1:7101";
 
 fn entry(mut section: Section<'_>) -> Result<EntrySettings> {
-    let listen = section.required("listen", ADDRESS).map_err(Kind::Core)?;
+    let listen = section.required("listen", ADDRESS)?;
     let settings = EntrySettings {
-        name: section
-            .required("name", "a name that is unique in the deployment")
-            .map_err(Kind::Core)?,
-        data_centre: section
-            .required("data_centre", "the name of a data centre")
-            .map_err(Kind::Core)?,
-        region: section.required("region", "the name of a region").map_err(Kind::Core)?,
+        name: section.required("name", "a name that is unique in the deployment")?,
+        data_centre: section.required("data_centre", "the name of a data centre")?,
+        region: section.required("region", "the name of a region")?,
         listen,
-        advertise: section.default("advertise", ADDRESS, listen).map_err(Kind::Core)?,
+        advertise: section.default("advertise", ADDRESS, listen)?,
     };
-    section.finish().map_err(Kind::Core)?;
+    section.finish()?;
     Ok(settings)
 }
 
 fn platform(mut section: Section<'_>) -> Result<PlatformSettings> {
     let settings = PlatformSettings {
-        address: section.required("address", ADDRESS).map_err(Kind::Core)?,
-        timeout: section.millis("timeout_ms", 1000, 10..=60_000).map_err(Kind::Core)?,
-        poll: section.millis("poll_ms", 10_000, 100..=600_000).map_err(Kind::Core)?,
+        address: section.required("address", ADDRESS)?,
+        timeout: section.millis("timeout_ms", 1000, 10..=60_000)?,
+        poll: section.millis("poll_ms", 10_000, 100..=600_000)?,
     };
-    section.finish().map_err(Kind::Core)?;
+    section.finish()?;
     Ok(settings)
 }
 
 fn peers(mut section: Section<'_>) -> Result<PeerSettings> {
     let settings = PeerSettings {
-        listen: section.required("listen", ADDRESS).map_err(Kind::Core)?,
-        seeds: section
-            .list("seeds", "addresses such as 127.0.0.1:7201")
-            .map_err(Kind::Core)?,
-        key: section
-            .required("key", "a secret of at least 16 bytes")
-            .map_err(Kind::Core)?,
-        timeout: section.millis("timeout_ms", 500, 10..=60_000).map_err(Kind::Core)?,
+        listen: section.required("listen", ADDRESS)?,
+        seeds: section.list("seeds", "addresses such as 127.0.0.1:7201")?,
+        key: section.required("key", "a secret of at least 16 bytes")?,
+        timeout: section.millis("timeout_ms", 500, 10..=60_000)?,
     };
-    section.finish().map_err(Kind::Core)?;
+    section.finish()?;
     Ok(settings)
 }
 
 fn operators(mut section: Section<'_>) -> Result<OperatorSettings> {
-    let hashes = section
-        .list::<String>("key_hashes", "blake3 hashes of 64 hexadecimal digits")
-        .map_err(Kind::Core)?;
+    let hashes = section.list::<String>("key_hashes", "blake3 hashes of 64 hexadecimal digits")?;
     let parse = |text: &String| {
         blake3::Hash::from_hex(text).map_err(|source| {
             let problem = format!("is not a blake3 hash ({source})");
@@ -261,7 +251,7 @@
         })
     };
     let key_hashes = hashes.iter().map(parse).collect::<std::result::Result<_, _>>()?;
-    section.finish().map_err(Kind::Core)?;
+    section.finish()?;
     Ok(OperatorSettings { key_hashes })
 }
 
@@ -274,46 +264,30 @@
     let Some(mut section) = section else {
         return Ok(settings);
     };
-    settings.level = section
-        .default("level", "off, error, warn, info, debug or trace", settings.level)
-        .map_err(Kind::Core)?;
-    settings.format = section
-        .default("format", "text or json", settings.format)
-        .map_err(Kind::Core)?;
-    settings.file = section.optional("file", "a path").map_err(Kind::Core)?;
-    section.finish().map_err(Kind::Core)?;
+    settings.level = section.default("level", "off, error, warn, info, debug or trace", settings.level)?;
+    settings.format = section.default("format", "text or json", settings.format)?;
+    settings.file = section.optional("file", "a path")?;
+    section.finish()?;
     Ok(settings)
 }
 
 fn limits(section: Option<Section<'_>>) -> Result<LimitSettings> {
-    let empty = File::parse("[limits]\n").map_err(Kind::Core)?;
+    let empty = File::parse("[limits]\n")?;
     let mut section = match section {
         Some(section) => section,
-        None => empty.section("limits").map_err(Kind::Core)?,
+        None => empty.section("limits")?,
     };
     let settings = LimitSettings {
         body_bytes: bytes(&mut section, "body_bytes", 1 << 20)?,
         request_bytes: bytes(&mut section, "request_bytes", 64 << 20)?,
-        header_timeout: section
-            .millis("header_timeout_ms", 5_000, 100..=60_000)
-            .map_err(Kind::Core)?,
-        body_timeout: section
-            .millis("body_timeout_ms", 10_000, 100..=600_000)
-            .map_err(Kind::Core)?,
-        write_timeout: section
-            .millis("write_timeout_ms", 30_000, 100..=600_000)
-            .map_err(Kind::Core)?,
+        header_timeout: section.millis("header_timeout_ms", 5_000, 100..=60_000)?,
+        body_timeout: section.millis("body_timeout_ms", 10_000, 100..=600_000)?,
+        write_timeout: section.millis("write_timeout_ms", 30_000, 100..=600_000)?,
         stream_bytes: bytes(&mut section, "stream_bytes", 256 << 10)?,
         process_bytes: bytes(&mut section, "process_bytes", 64 << 20)?,
-        caller_grace: section
-            .millis("caller_grace_ms", 30_000, 0..=3_600_000)
-            .map_err(Kind::Core)?,
-        address_lifetime: section
-            .millis("address_lifetime_ms", 10_000, 100..=600_000)
-            .map_err(Kind::Core)?,
-        drain_limit: section
-            .millis("drain_limit_ms", 600_000, 0..=86_400_000)
-            .map_err(Kind::Core)?,
+        caller_grace: section.millis("caller_grace_ms", 30_000, 0..=3_600_000)?,
+        address_lifetime: section.millis("address_lifetime_ms", 10_000, 100..=600_000)?,
+        drain_limit: section.millis("drain_limit_ms", 600_000, 0..=86_400_000)?,
         connections: bytes(&mut section, "connections", 20_000)?,
     };
     if settings.request_bytes < settings.body_bytes {
@@ -321,11 +295,11 @@
         let remedy = "set it to at least `body_bytes`, so that the largest body fits";
         return Err(Kind::Core(section.error("request_bytes", &value, "is too small", remedy)).into());
     }
-    section.finish().map_err(Kind::Core)?;
+    section.finish()?;
     Ok(settings)
 }
 
 fn bytes<'a>(section: &mut Section<'a>, key: &'a str, default: u64) -> Result<usize> {
-    let value = section.number(key, default, 1..=1 << 32).map_err(Kind::Core)?;
+    let value = section.number(key, default, 1..=1 << 32)?;
     Ok(usize::try_from(value).unwrap_or(usize::MAX))
 }
