Charge expected answers above what memory is reserved for

What a request holds now grows in steps within the share, and charges may add up to 1.35 of the share (`overbook`). A request that was admitted may grow up to the largest share of the last `hold`, which newcomers leave free.

--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -1,7 +1,8 @@
 //! Room per target in tokens, account shares and early refusal.
 //!
-//! Room is the free capacity of a target. A request is charged with its prompt and the answer that is expected. The
-//! entries that share a target divide its capacity without agreement ([`Share`]); the lagging load report of the target
+//! Room is the free capacity of a target. A request is charged with its prompt and the answer that is expected; what it
+//! holds grows in small steps within the room, so that a target's memory is never exceeded, and the expected answers may
+//! add up to more ([`Timing::overbook`]), because few requests are at their longest at the same time. The entries that share a target divide its capacity without agreement ([`Share`]); the lagging load report of the target
 //! is the second bound ([`Room`]); accounts divide what an entry has ([`Accounts`]); [`Gate`] joins the three.
 
 use std::time::Duration;
@@ -34,6 +35,8 @@
     pub floor: u32,
     /// The part of a capacity that is left free for estimates that were too low, in thousandths.
     pub headroom: u32,
+    /// What the charges may add up to, in thousandths of the room.
+    pub overbook: u32,
 }
 
 impl Default for Timing {
@@ -47,6 +50,7 @@
             report: Duration::from_secs(3),
             floor: 1,
             headroom: 50,
+            overbook: 1350,
         }
     }
 }
@@ -56,6 +60,11 @@
     pub fn usable(&self, capacity: u64) -> u64 {
         capacity - capacity * u64::from(self.headroom.min(1000)) / 1000
     }
+
+    /// Returns what the charges in a room may add up to.
+    pub fn chargeable(&self, room: u64) -> u64 {
+        room * u64::from(self.overbook.max(1000)) / 1000
+    }
 }
 
 /// Who asks for room, and how much.
@@ -73,7 +82,15 @@
     pub expected: u64,
 }
 
+/// The part of an answer that is reserved in memory before it is produced, so that production does not wait for it.
+const STEP: u64 = 128;
+
 impl Demand<'_> {
+    /// Returns what the request holds in memory at first.
+    pub fn held(&self) -> u64 {
+        self.prompt.saturating_add(self.expected.min(STEP))
+    }
+
     /// Returns the whole charge.
     pub fn tokens(&self) -> u64 {
         self.prompt.saturating_add(self.expected)
--- a/crates/core/src/limit_account.rs
+++ b/crates/core/src/limit_account.rs
@@ -9,9 +9,9 @@
 /// How long an account counts as active after its last request.
 const ACTIVE_FOR: Duration = Duration::from_secs(60);
 /// The part of the room, in thousandths, that the lowest priority may fill beyond its account's share.
-const BORROW_BASE: u64 = 640;
-/// What each step of priority adds to that part, in thousandths: priority 5 borrows up to 79 %, priority 9 up to 91 %.
-const BORROW_STEP: u64 = 30;
+const BORROW_BASE: u64 = 800;
+/// What each step of priority adds to that part, in thousandths: priority 5 borrows up to 90 %, priority 9 up to 98 %.
+const BORROW_STEP: u64 = 20;
 
 /// What each account uses, and what it is entitled to.
 ///
--- a/crates/core/src/limit_gate.rs
+++ b/crates/core/src/limit_gate.rs
@@ -8,6 +8,7 @@
 use crate::clock::Instant;
 use crate::id::{Account, Model, Target};
 use crate::limit::{Accounts, Cause, Charge, Demand, Refusal, Room, Sharer, Timing};
+use crate::limit_room::Tokens;
 use crate::wire::Load;
 
 /// The shortest and the longest time that a refused caller is told to wait.
@@ -26,9 +27,9 @@
 /// gate.add(Instant::ZERO, &target, &model, 10_000);
 /// let demand = Demand { account: &account, priority: 5, share: 10, prompt: 1000, expected: 500 };
 /// let charge = gate.admit(Instant::ZERO, &target, &demand).unwrap();
-/// assert_eq!(gate.reserved(&target), 1500);
+/// assert_eq!(gate.charged(&target), 1500);
 /// drop(charge);
-/// assert_eq!(gate.reserved(&target), 0);
+/// assert_eq!(gate.charged(&target), 0);
 /// # Ok::<(), hawthornpost_core::Error>(())
 /// ```
 #[derive(Debug)]
@@ -53,15 +54,6 @@
     rate: f64,
 }
 
-/// One change of the books.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Entry<'a> {
-    pub(crate) model: &'a Model,
-    pub(crate) account: &'a Account,
-    pub(crate) tokens: u64,
-    pub(crate) held: u64,
-}
-
 #[derive(Debug)]
 struct Slot {
     model: Model,
@@ -97,7 +89,7 @@
         let timing = books.timing;
         let known = self.names.get(target).and_then(|index| books.rooms.get_mut(index));
         if let Some(slot) = known.filter(|slot| slot.model == *model) {
-            slot.room.resize(capacity);
+            slot.room.resize(now, capacity, &timing);
             if std::mem::take(&mut slot.removed) {
                 slot.room.restart(now, &timing);
             }
@@ -122,11 +114,11 @@
         if let Some(slot) = slot {
             slot.removed = true;
         }
-        books.rooms.retain(|_, slot| !slot.removed || slot.room.reserved() > 0);
+        books.rooms.retain(|_, slot| !slot.removed || slot.room.charged() > 0);
         self.names.retain(|_, index| books.rooms.contains_key(index));
     }
 
-    /// Notes a turn of the loop. A turn that comes late shows that the process was paused; every share then begins
+    /// Notes a turn of the loop. A turn that comes late shows that the process was paused; shares then wait or begin
     /// anew.
     pub fn turn(&mut self, now: Instant) {
         self.books.borrow_mut().turn(now);
@@ -160,24 +152,22 @@
             return Err(books.refusal(now, Cause::Target, demand.tokens()));
         };
         let model = books.check(now, room, demand)?;
-        let entry = Entry {
-            model: &model,
-            account: demand.account,
-            tokens: demand.tokens(),
-            held: demand.prompt,
+        let tokens = Tokens {
+            charged: demand.tokens(),
+            held: demand.held(),
+            used: demand.prompt,
         };
-        books.reserve(room, &entry);
+        books.charge(room, &model, demand.account, tokens);
         Ok(Charge {
             books: Rc::clone(&self.books),
             room,
             account: demand.account.clone(),
-            reserved: demand.tokens(),
-            held: demand.prompt,
+            tokens,
             model,
         })
     }
 
-    /// Returns the tokens that can still be reserved at a target.
+    /// Returns the tokens that can still be charged at a target.
     pub fn free(&self, now: Instant, target: &Target) -> u64 {
         let room = self.names.get(target);
         room.map_or(0, |room| self.books.borrow_mut().free(now, *room))
@@ -191,15 +181,22 @@
         room.map_or(0, |room| room.bound(now, &timing))
     }
 
-    /// Returns the tokens that are reserved at a target.
-    pub fn reserved(&self, target: &Target) -> u64 {
+    /// Returns the tokens that are charged at a target.
+    pub fn charged(&self, target: &Target) -> u64 {
         let books = self.books.borrow();
         let slot = self.names.get(target).and_then(|index| books.rooms.get(index));
-        slot.map_or(0, |slot| slot.room.reserved())
+        slot.map_or(0, |slot| slot.room.charged())
     }
 
-    /// Returns the tokens that an account has reserved at the targets of a model.
-    pub fn reserved_by(&self, account: &Account, model: &Model) -> u64 {
+    /// Returns the tokens that the requests at a target hold.
+    pub fn held(&self, target: &Target) -> u64 {
+        let books = self.books.borrow();
+        let slot = self.names.get(target).and_then(|index| books.rooms.get(index));
+        slot.map_or(0, |slot| slot.room.held())
+    }
+
+    /// Returns the tokens that an account is charged with at the targets of a model.
+    pub fn charged_to(&self, account: &Account, model: &Model) -> u64 {
         let books = self.books.borrow();
         books.pools.get(model).map_or(0, |pool| pool.used_by(account))
     }
@@ -220,28 +217,31 @@
         self.room(room).map_or(0, |room| room.free(now, &timing))
     }
 
-    pub(crate) fn reserve(&mut self, room: usize, charge: &Entry<'_>) {
-        if let Some(pool) = self.pools.get_mut(charge.model) {
-            pool.reserve(charge.account, charge.tokens);
-        }
-        if let Some(room) = self.room(room) {
-            room.reserve(charge.tokens, charge.held);
+    pub(crate) fn may_grow(&mut self, now: Instant, room: usize, tokens: u64) -> bool {
+        let timing = self.timing;
+        self.room(room).is_some_and(|room| room.may_grow(now, tokens, &timing))
+    }
+
+    pub(crate) fn charge(&mut self, room: usize, model: &Model, account: &Account, tokens: Tokens) {
+        if let Some(pool) = self.pools.get_mut(model) {
+            pool.reserve(account, tokens.charged);
         }
+        self.add(room, tokens);
     }
 
-    pub(crate) fn produce(&mut self, room: usize, tokens: u64) {
+    pub(crate) fn add(&mut self, room: usize, tokens: Tokens) {
         if let Some(room) = self.room(room) {
-            room.produce(tokens);
+            room.add(tokens);
         }
     }
 
-    pub(crate) fn release(&mut self, room: usize, charge: &Entry<'_>) {
-        self.released += charge.tokens;
-        if let Some(pool) = self.pools.get_mut(charge.model) {
-            pool.release(charge.account, charge.tokens);
+    pub(crate) fn release(&mut self, room: usize, model: &Model, account: &Account, tokens: Tokens) {
+        self.released += tokens.charged;
+        if let Some(pool) = self.pools.get_mut(model) {
+            pool.release(account, tokens.charged);
         }
         if let Some(room) = self.room(room) {
-            room.release(charge.tokens, charge.held);
+            room.subtract(tokens);
         }
     }
 
@@ -270,10 +270,17 @@
         let pool = self.pools.entry(model.clone()).or_default();
         pool.ask(now, demand.account, demand.share);
         let allowed = pool.allows(demand.account, demand.priority, tokens, total);
-        let free = self.free(now, room);
-        if free < tokens {
+        let request = Tokens {
+            charged: tokens,
+            held: demand.held(),
+            used: demand.prompt,
+        };
+        let timing = self.timing;
+        let fits = self.room(room).is_some_and(|room| room.fits(now, request, &timing));
+        if !fits {
+            let missing = tokens.saturating_sub(self.free(now, room)).max(1);
             let cause = self.cause(room, tokens);
-            return Err(self.refusal(now, cause, tokens - free));
+            return Err(self.refusal(now, cause, missing));
         }
         if !allowed {
             return Err(self.refusal(now, Cause::Account, tokens));
@@ -290,22 +297,34 @@
         }
     }
 
-    /// Returns the tokens that this entry may hold at all targets of a model.
+    /// Returns the tokens that this entry may hold at all targets of a model, counted as charges.
     fn total(&mut self, now: Instant, model: &Model) -> u64 {
         let timing = self.timing;
         self.rooms
             .values_mut()
             .filter(|slot| slot.model == *model && !slot.removed)
-            .map(|slot| slot.room.bound(now, &timing).max(slot.room.reserved()))
+            .map(|slot| {
+                timing
+                    .chargeable(slot.room.bound(now, &timing))
+                    .max(slot.room.charged())
+            })
             .sum()
     }
 
     fn turn(&mut self, now: Instant) {
         let timing = self.timing;
-        let late = now.since(self.turn) > timing.pause;
+        let missed = now.since(self.turn);
         self.turn = self.turn.max(now);
-        if late {
-            self.rooms.values_mut().for_each(|slot| slot.room.restart(now, &timing));
+        if missed > timing.pause {
+            // The others count an entry for `rise` after they lost it; they may have noticed up to `settle` ago.
+            let lost = missed + timing.settle >= timing.rise;
+            for slot in self.rooms.values_mut() {
+                if lost {
+                    slot.room.restart(now, &timing);
+                } else {
+                    slot.room.wait(now, &timing);
+                }
+            }
         }
     }
 
--- a/crates/core/src/limit_share.rs
+++ b/crates/core/src/limit_share.rs
@@ -51,8 +51,12 @@
     }
 
     /// Begins anew, as after a pause in which the other entries may have taken this entry's share.
-    pub fn restart(&mut self, now: Instant, timing: &Timing) {
+    pub fn restart(&mut self, now: Instant) {
         self.since = now;
+    }
+
+    /// Waits, as after a pause, until this entry has seen the others and they have seen it.
+    pub fn wait(&mut self, now: Instant, timing: &Timing) {
         self.ready = self.ready.max(now + timing.settle);
     }
 
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod backlog;
 pub mod experiment;
+mod overload;
 mod path;
 mod path_caller;
 mod path_daemon;
--- /dev/null
+++ b/crates/lab/src/overload.rs
@@ -0,0 +1,533 @@
+//! Overload of targets: the shares of the core against limits of each entry for itself.
+
+use hawthornpost_core::clock::Instant;
+use hawthornpost_core::id::{Account, Entry, Model, Target};
+use hawthornpost_core::limit::{Charge, Demand, Gate, Lengths, Sharer, Timing};
+use hawthornpost_core::wire::Load;
+use linkme::distributed_slice;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::experiment::{EXPERIMENTS, Experiment, Options, Table};
+
+#[distributed_slice(EXPERIMENTS)]
+static OVERLOAD: Experiment = Experiment {
+    name: "overload",
+    summary: "overload events, goodput and account shares at 1, 1.5 and 3 times the capacity",
+    run,
+};
+
+const TARGETS: usize = 4;
+const CAPACITY: u64 = 400_000;
+const STEP: Duration = Duration::from_millis(100);
+const RUN: Duration = Duration::from_secs(1000);
+/// Results count from here on, when the targets are full.
+const WARM_UP: Duration = Duration::from_secs(300);
+const TOKEN_MILLIS: u64 = 60;
+/// A target that ran out of memory loses its requests and starts again.
+const RESTART: Duration = Duration::from_secs(20);
+const REPORT_EVERY: Duration = Duration::from_millis(500);
+const REPORT_LAG: Duration = Duration::from_millis(700);
+const GROWTH: u64 = 64;
+/// Accounts with an equal share; the first sends most of the requests.
+const ACCOUNTS: [(&str, f64); 4] = [("flood", 0.7), ("crews", 0.1), ("office", 0.1), ("survey", 0.1)];
+const TIMING: Timing = Timing {
+    spread: Duration::from_secs(3),
+    settle: Duration::from_secs(5),
+    rise: Duration::from_secs(10),
+    hold: Duration::from_secs(250),
+    pause: Duration::from_secs(1),
+    report: Duration::from_secs(3),
+    floor: 8,
+    headroom: 20,
+    overbook: 1350,
+};
+
+/// How entries limit themselves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Policy {
+    /// The core: shares of the live entries, and the load report.
+    Shares,
+    /// Every entry trusts the load report alone.
+    Report,
+    /// Every entry has an eighth, whoever else is there.
+    Eighth,
+    /// The core without account shares: all requests count as one account's.
+    NoAccounts,
+}
+
+impl Policy {
+    fn timing(self) -> Timing {
+        match self {
+            Self::Shares | Self::NoAccounts => TIMING,
+            Self::Report => Timing { floor: 1, ..TIMING },
+            Self::Eighth => Timing {
+                floor: 8,
+                rise: Duration::ZERO,
+                settle: Duration::ZERO,
+                hold: Duration::ZERO,
+                ..TIMING
+            },
+        }
+    }
+}
+
+/// One process of an entry.
+struct Process {
+    name: Entry,
+    gate: Gate,
+    lengths: Lengths,
+    since: Instant,
+    until: Instant,
+}
+
+/// One request at a target.
+struct Running {
+    entry: usize,
+    account: usize,
+    charge: Option<Charge>,
+    prompt: u64,
+    produced: u64,
+    length: u64,
+    next: Instant,
+}
+
+#[derive(Default)]
+struct Engine {
+    running: Vec<Running>,
+    down_until: Option<Instant>,
+}
+
+impl Engine {
+    fn held(&self) -> u64 {
+        self.running
+            .iter()
+            .map(|request| request.prompt + request.produced)
+            .sum()
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct Outcome {
+    overloads: u64,
+    lost: u64,
+    moved: u64,
+    refused: u64,
+    asked: u64,
+    /// Tokens of whole answers, by account.
+    tokens: [u64; ACCOUNTS.len()],
+    requests: [u64; ACCOUNTS.len()],
+    served: [u64; ACCOUNTS.len()],
+}
+
+struct World {
+    now: Instant,
+    rng: SmallRng,
+    policy: Policy,
+    churn: bool,
+    accounts: Vec<Account>,
+    targets: Vec<Target>,
+    model: Model,
+    engines: Vec<Engine>,
+    entries: Vec<Option<Process>>,
+    returns: Vec<Instant>,
+    reports: VecDeque<(Instant, usize, Load)>,
+    sequence: u64,
+    outcome: Outcome,
+}
+
+fn run(options: &Options) -> Table {
+    let mut table = Table::new([
+        "policy",
+        "entries",
+        "load",
+        "overload events/h",
+        "requests lost %",
+        "moved %",
+        "refused %",
+        "goodput tokens/s",
+        "flood account % of goodput",
+        "other accounts served %",
+    ]);
+    let seeds = options.seeds.min(20);
+    for (churn, load) in [
+        (false, 1.0),
+        (false, 1.5),
+        (false, 3.0),
+        (true, 1.0),
+        (true, 1.5),
+        (true, 3.0),
+    ] {
+        for policy in [Policy::Shares, Policy::Report, Policy::Eighth, Policy::NoAccounts] {
+            let runs = options.seed..options.seed + seeds;
+            let outcomes = runs
+                .map(|seed| World::new(seed, policy, churn).run(load))
+                .collect::<Vec<_>>();
+            table.push(row(policy, churn, load, &outcomes));
+        }
+    }
+    table
+}
+
+fn row(policy: Policy, churn: bool, load: f64, outcomes: &[Outcome]) -> Vec<String> {
+    let sum = |field: fn(&Outcome) -> u64| outcomes.iter().map(field).sum::<u64>() as f64;
+    let hours = outcomes.len() as f64 * RUN.saturating_sub(WARM_UP).as_secs_f64() / 3600.0;
+    let asked = sum(|outcome| outcome.asked);
+    let tokens = sum(|outcome| outcome.tokens.iter().sum());
+    let others = sum(|outcome| outcome.served[1..].iter().sum()) / sum(|outcome| outcome.requests[1..].iter().sum());
+    vec![
+        format!("{policy:?}"),
+        if churn { "come and go" } else { "8" }.to_owned(),
+        format!("{load:.1}"),
+        format!("{:.1}", sum(|outcome| outcome.overloads) / hours),
+        format!("{:.2}", 100.0 * sum(|outcome| outcome.lost) / asked),
+        format!("{:.2}", 100.0 * sum(|outcome| outcome.moved) / asked),
+        format!("{:.1}", 100.0 * sum(|outcome| outcome.refused) / asked),
+        format!("{:.0}", tokens / (hours * 3600.0)),
+        format!("{:.1}", 100.0 * sum(|outcome| outcome.tokens[0]) / tokens),
+        format!("{:.1}", 100.0 * others),
+    ]
+}
+
+/// Returns a prompt and an answer length; the lengths are log-normal with a mean near 700 tokens.
+fn draw(rng: &mut SmallRng) -> (u64, u64) {
+    let normal = (0..12).map(|_| rng.random::<f64>()).sum::<f64>() - 6.0;
+    let length = (450.0 * (0.9 * normal).exp()).clamp(10.0, 4000.0);
+    (rng.random_range(200..2000), whole(length))
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "small positive numbers are rounded down"
+)]
+fn whole(number: f64) -> u64 {
+    number as u64
+}
+
+/// Returns the requests per second that keep the targets full on average.
+fn full_rate(rng: &mut SmallRng) -> f64 {
+    let samples = 20_000;
+    let token_seconds = (0..samples).map(|_| {
+        let (prompt, length) = draw(rng);
+        (length * TOKEN_MILLIS) as f64 / 1000.0 * (prompt as f64 + length as f64 / 2.0)
+    });
+    let mean = token_seconds.sum::<f64>() / f64::from(samples);
+    (CAPACITY * TARGETS as u64) as f64 / mean
+}
+
+impl World {
+    fn new(seed: u64, policy: Policy, churn: bool) -> Self {
+        let accounts = ACCOUNTS
+            .iter()
+            .map(|(name, _)| name.parse().expect("a valid name"))
+            .collect();
+        let targets = (0..TARGETS)
+            .map(|index| format!("engine-{index}").parse().expect("a valid name"))
+            .collect();
+        let names = if churn { 12 } else { 8 };
+        let mut world = Self {
+            now: Instant::ZERO,
+            rng: SmallRng::seed_from_u64(seed),
+            policy,
+            churn,
+            accounts,
+            targets,
+            model: "letters".parse().expect("a valid name"),
+            engines: (0..TARGETS).map(|_| Engine::default()).collect(),
+            entries: (0..names).map(|_| None).collect(),
+            returns: vec![Instant::ZERO; names],
+            reports: VecDeque::new(),
+            sequence: 0,
+            outcome: Outcome::default(),
+        };
+        if churn {
+            for index in 8..names {
+                world.returns[index] = Instant::from_millis(world.rng.random_range(0..100_000));
+            }
+        }
+        world
+    }
+
+    fn run(mut self, load: f64) -> Outcome {
+        let rate = full_rate(&mut self.rng) * load;
+        while self.now < Instant::from_start(RUN) {
+            self.now = self.now + STEP;
+            self.come_and_go();
+            self.views();
+            self.report();
+            self.produce();
+            self.check_memory();
+            let due = rate * STEP.as_secs_f64();
+            let arrivals = whole(due) + u64::from(self.rng.random::<f64>() < due.fract());
+            (0..arrivals).for_each(|_| self.arrive());
+        }
+        self.outcome
+    }
+
+    fn come_and_go(&mut self) {
+        for index in 0..self.entries.len() {
+            let ended = self.entries[index]
+                .as_ref()
+                .is_some_and(|process| process.until <= self.now);
+            if ended {
+                self.entries[index] = None;
+                self.returns[index] = self.now + Duration::from_secs(self.rng.random_range(20..150));
+                self.drop_requests(index);
+            } else if self.entries[index].is_none() && self.returns[index] <= self.now {
+                self.start(index);
+            }
+        }
+    }
+
+    fn start(&mut self, index: usize) {
+        let mut gate = Gate::new(self.now, self.policy.timing());
+        for target in &self.targets {
+            gate.add(self.now, target, &self.model, CAPACITY);
+        }
+        let life = Duration::from_secs(self.rng.random_range(60..300));
+        self.entries[index] = Some(Process {
+            name: format!("e{index}").parse().expect("a valid name"),
+            gate,
+            lengths: Lengths::default(),
+            since: self.now,
+            until: if self.churn {
+                self.now + life
+            } else {
+                Instant::from_start(RUN * 2)
+            },
+        });
+    }
+
+    /// An entry that dies loses its connections; targets notice within the time that shares wait before they rise.
+    fn drop_requests(&mut self, entry: usize) {
+        for engine in &mut self.engines {
+            for request in engine.running.iter_mut().filter(|request| request.entry == entry) {
+                request.charge = None;
+                request.length = request.length.min(request.produced + 100);
+            }
+        }
+    }
+
+    /// Every entry learns once a second who is there; views differ because the entries do so at different times.
+    fn views(&mut self) {
+        if !matches!(self.policy, Policy::Shares | Policy::NoAccounts) {
+            return;
+        }
+        let now = self.now;
+        let turn = now.since_start().as_millis() / STEP.as_millis();
+        let live = self.entries.iter().flatten().map(|process| Sharer {
+            entry: process.name.clone(),
+            age: now - process.since,
+        });
+        let live = live.collect::<Vec<_>>();
+        for (index, process) in self.entries.iter_mut().enumerate() {
+            let Some(process) = process.as_mut().filter(|_| turn % 10 == index as u128 % 10) else {
+                continue;
+            };
+            let others = live
+                .iter()
+                .filter(|sharer| sharer.entry != process.name)
+                .cloned()
+                .collect::<Vec<_>>();
+            for target in &self.targets {
+                process.gate.observe(now, target, &others);
+            }
+        }
+    }
+
+    fn report(&mut self) {
+        self.entries
+            .iter_mut()
+            .flatten()
+            .for_each(|process| process.gate.turn(self.now));
+        if self
+            .now
+            .since_start()
+            .as_millis()
+            .is_multiple_of(REPORT_EVERY.as_millis())
+        {
+            self.sequence += 1;
+            for (index, engine) in self.engines.iter().enumerate() {
+                let load = Load {
+                    model: self.model.clone(),
+                    version: "v1".parse().expect("a valid name"),
+                    tokens_held: engine.held(),
+                    tokens_capacity: CAPACITY,
+                    running: u32::try_from(engine.running.len()).unwrap_or(u32::MAX),
+                    waiting: 0,
+                    sequence: self.sequence,
+                };
+                self.reports.push_back((self.now + REPORT_LAG, index, load));
+            }
+        }
+        while self.reports.front().is_some_and(|(at, _, _)| *at <= self.now) {
+            let Some((_, index, load)) = self.reports.pop_front() else {
+                break;
+            };
+            if self.policy == Policy::Eighth {
+                continue;
+            }
+            for process in self.entries.iter_mut().flatten() {
+                process.gate.report(self.now, &self.targets[index], &load);
+            }
+        }
+    }
+
+    fn produce(&mut self) {
+        let mut moving = Vec::new();
+        for engine in &mut self.engines {
+            let mut index = 0;
+            while index < engine.running.len() {
+                let request = &mut engine.running[index];
+                let fits = produce(request, self.now);
+                if fits && request.produced < request.length {
+                    index += 1;
+                    continue;
+                }
+                let request = engine.running.swap_remove(index);
+                if fits {
+                    finish(
+                        &mut self.outcome,
+                        &mut self.entries,
+                        &self.accounts,
+                        &self.model,
+                        self.now,
+                        &request,
+                    );
+                } else {
+                    moving.push(request);
+                }
+            }
+        }
+        for request in moving {
+            self.relocate(request);
+        }
+    }
+
+    /// A request whose charge cannot grow goes on at another target, or is lost.
+    fn relocate(&mut self, mut request: Running) {
+        request.charge = None;
+        let entry = request.entry;
+        let tokens = request.prompt + request.produced;
+        match self.admit(entry, request.account, tokens, GROWTH) {
+            Some((target, charge)) => {
+                self.outcome.moved += 1;
+                request.charge = Some(charge);
+                self.engines[target].running.push(request);
+            }
+            None => self.outcome.lost += 1,
+        }
+    }
+
+    fn check_memory(&mut self) {
+        for engine in &mut self.engines {
+            if engine.held() > CAPACITY {
+                let counted = self.now.since_start() > WARM_UP;
+                self.outcome.overloads += u64::from(counted);
+                self.outcome.lost += if counted { engine.running.len() as u64 } else { 0 };
+                engine.running.clear();
+                engine.down_until = Some(self.now + RESTART);
+            }
+        }
+    }
+
+    fn arrive(&mut self) {
+        let account = self.draw_account();
+        let live = (0..self.entries.len()).filter(|index| self.entries[*index].is_some());
+        let live = live.collect::<Vec<_>>();
+        if live.is_empty() {
+            return;
+        }
+        let entry = live[self.rng.random_range(0..live.len())];
+        let (prompt, length) = draw(&mut self.rng);
+        let expected = self.entries[entry].as_ref().map_or(4000, |process| {
+            process.lengths.expected(&self.accounts[account], &self.model, 4000)
+        });
+        let counted = u64::from(self.now.since_start() > WARM_UP);
+        self.outcome.asked += counted;
+        self.outcome.requests[account] += counted;
+        let Some((target, charge)) = self.admit(entry, account, prompt, expected) else {
+            self.outcome.refused += counted;
+            return;
+        };
+        self.outcome.served[account] += counted;
+        self.engines[target].running.push(Running {
+            entry,
+            account,
+            charge: Some(charge),
+            prompt,
+            produced: 0,
+            length,
+            next: self.now,
+        });
+    }
+
+    fn admit(&mut self, entry: usize, account: usize, prompt: u64, expected: u64) -> Option<(usize, Charge)> {
+        let now = self.now;
+        let process = self.entries[entry].as_mut()?;
+        let up = |index: &usize| self.engines[*index].down_until.is_none_or(|until| until <= now);
+        let mut order = (0..TARGETS).filter(up).collect::<Vec<_>>();
+        order.sort_by_key(|index| std::cmp::Reverse(process.gate.free(now, &self.targets[*index])));
+        let all = usize::from(self.policy != Policy::NoAccounts) * account;
+        let demand = Demand {
+            account: &self.accounts[all],
+            priority: if self.policy == Policy::NoAccounts { 9 } else { 5 },
+            share: 10,
+            prompt,
+            expected,
+        };
+        order
+            .into_iter()
+            .find_map(|index| Some((index, process.gate.admit(now, &self.targets[index], &demand).ok()?)))
+    }
+
+    fn draw_account(&mut self) -> usize {
+        let mut rest = self.rng.random::<f64>();
+        for (index, (_, part)) in ACCOUNTS.iter().enumerate() {
+            if rest < *part {
+                return index;
+            }
+            rest -= part;
+        }
+        0
+    }
+}
+
+/// Produces the tokens that are due; returns false when the charge cannot grow.
+fn produce(request: &mut Running, now: Instant) -> bool {
+    while request.next <= now && request.produced < request.length {
+        if let Some(charge) = &mut request.charge {
+            if charge.rest() == 0 && charge.grow(now, GROWTH).is_err() {
+                return false;
+            }
+            charge.produce(1);
+        }
+        request.produced += 1;
+        request.next = request.next + Duration::from_millis(TOKEN_MILLIS);
+    }
+    true
+}
+
+fn finish(
+    outcome: &mut Outcome,
+    entries: &mut [Option<Process>],
+    accounts: &[Account],
+    model: &Model,
+    now: Instant,
+    request: &Running,
+) {
+    if request.charge.is_none() {
+        return;
+    }
+    if let Some(process) = &mut entries[request.entry] {
+        process
+            .lengths
+            .observe(&accounts[request.account], model, request.length);
+    }
+    if now.since_start() > WARM_UP {
+        outcome.tokens[request.account] += request.length;
+    }
+}
