--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,6 +5,7 @@
 mod backlog;
 pub mod experiment;
 mod membership;
+mod overload;
 mod path;
 mod path_caller;
 mod path_daemon;
