Run actions at most once in the daemon

The thin path created one object per action and could not say what became of an action after a lost answer, a dead entry host or an outage.

`claims` runs a batch for every shard that the daemon has changes for and sends changes to the shard's owner (`claim_put`); when the owner cannot say what became of a change, the daemon writes it itself, which the claim id makes harmless. Lookups pass the query on.

--- a/crates/core/src/claim_batch.rs
+++ b/crates/core/src/claim_batch.rs
@@ -285,8 +285,8 @@
             self.pending
                 .retain(|ticket, pending| match view.shard.check(&pending.put, index) {
                     None => true,
-                    // Another entry may have added the record after the view was read.
-                    Some(Verdict::Refused) if pending.reads == reads => {
+                    // Another entry may have added or settled the record after the view was read.
+                    Some(verdict) if verdict.may_be_stale() && pending.reads == reads => {
                         stale = true;
                         true
                     }
@@ -331,6 +331,16 @@
     }
 }
 
+impl Verdict {
+    const fn may_be_stale(&self) -> bool {
+        match self {
+            Self::Refused => true,
+            Self::Held(record) => !record.is_settled(),
+            Self::Stored | Self::Sealed(_) | Self::Unknown => false,
+        }
+    }
+}
+
 impl Pending {
     const fn new(put: Put, until: Instant, reads: u64) -> Self {
         Self {
--- a/crates/core/src/claim_machine.rs
+++ b/crates/core/src/claim_machine.rs
@@ -81,8 +81,8 @@
     Record(Key, Claim, State),
     /// Read the record of the key from a segment.
     ReadSegment(String),
-    /// Send the call, once.
-    Send,
+    /// Send the call with this claim id, once.
+    Send(Claim),
     /// Ask the record's target what became of the record's claim.
     LookUp(Record),
     /// Answer the caller.
@@ -233,7 +233,7 @@
             return commands;
         }
         self.phase = Phase::Sending;
-        vec![Command::Send]
+        vec![Command::Send(self.record.claim)]
     }
 
     fn held(&mut self, now: Instant, record: Record) -> Vec<Command> {
--- a/crates/core/src/claim_shard.rs
+++ b/crates/core/src/claim_shard.rs
@@ -69,6 +69,8 @@
     },
     /// Adds a tombstone: closes a key that has no record as not run.
     Tombstone(Record),
+    /// Changes nothing; the verdict says what is kept about the key.
+    Find(Key),
 }
 
 /// What became of a change.
@@ -100,7 +102,7 @@
     pub const fn key(&self) -> &Key {
         match self {
             Self::Claim(record) | Self::Tombstone(record) => &record.key,
-            Self::Outcome { key, .. } => key,
+            Self::Outcome { key, .. } | Self::Find(key) => key,
         }
     }
 }
@@ -183,13 +185,15 @@
     pub fn check(&self, put: &Put, index: &Index) -> Option<Verdict> {
         let Some(found) = self.find(put.key()) else {
             let sealed = index.find(put.key()).map(|name| Verdict::Sealed(name.to_owned()));
-            // Without a record there is nothing that an outcome could settle.
-            return sealed.or_else(|| matches!(put, Put::Outcome { .. }).then_some(Verdict::Refused));
+            // Without a record there is nothing to settle or to find.
+            let needs_record = matches!(put, Put::Outcome { .. } | Put::Find(_));
+            return sealed.or_else(|| needs_record.then_some(Verdict::Refused));
         };
         let (claim, state) = match put {
             Put::Claim(record) => (record.claim, &State::Claimed),
             Put::Tombstone(record) => (record.claim, &State::NotRun),
             Put::Outcome { claim, state, .. } => (*claim, state),
+            Put::Find(_) => return Some(Verdict::Held(found.clone())),
         };
         // After a lost answer the same change is checked again; finding it proves that the lost write took effect.
         if found.claim == claim && found.state == *state {
@@ -208,6 +212,7 @@
                     found.state = state.clone();
                 }
             }
+            Put::Find(_) => {}
         }
     }
 
--- a/crates/core/src/platform.rs
+++ b/crates/core/src/platform.rs
@@ -106,8 +106,10 @@
 #[serde(rename_all = "camelCase")]
 pub struct Object<S> {
     /// The group and version, [`API_VERSION`].
+    #[serde(default)]
     pub api_version: String,
     /// The kind, as [`Plural::kind`] returns it.
+    #[serde(default)]
     pub kind: String,
     /// The name and the version.
     pub metadata: Metadata,
--- a/crates/core/tests/claim.rs
+++ b/crates/core/tests/claim.rs
@@ -45,7 +45,7 @@
 }
 
 // Guards against a send without a confirmed claim, and against "not run" without proof.
-#[test_case(Verdict::Stored => vec![Command::Send]; "confirmed")]
+#[test_case(Verdict::Stored => vec![Command::Send(own().claim)]; "confirmed")]
 #[test_case(Verdict::Refused => vec![Command::Answer(Outcome::NotRun(Scope::Request))]; "not written")]
 #[test_case(Verdict::Unknown => vec![Command::Close(own())]; "answer lost")]
 #[test_case(Verdict::Held(record(1, 2, State::Claimed)) => vec![Command::LookUp(record(1, 2, State::Claimed))]; "another claim")]
@@ -58,7 +58,7 @@
 }
 
 #[test_case(Verdict::Stored => vec![Command::Answer(Outcome::NotRun(Scope::Key))]; "tombstone written")]
-#[test_case(Verdict::Held(own()) => vec![Command::Send]; "the lost write took effect")]
+#[test_case(Verdict::Held(own()) => vec![Command::Send(own().claim)]; "the lost write took effect")]
 #[test_case(Verdict::Unknown => Vec::<Command>::new(); "tombstone lost")]
 #[test_case(Verdict::Refused => Vec::<Command>::new(); "tombstone not written")]
 fn close_verdict(verdict: Verdict) -> Vec<Command> {
--- a/crates/core/tests/fuzz_claim.rs
+++ b/crates/core/tests/fuzz_claim.rs
@@ -301,7 +301,7 @@
                     let found = Ok(found.cloned());
                     self.event(claim, Event::Segment(found));
                 }
-                Command::Send => {
+                Command::Send(_) => {
                     assert!(
                         !self.told.iter().any(|(told, _)| *told == claim),
                         "sent after the caller was answered"
--- /dev/null
+++ b/crates/daemon/src/claims.rs
@@ -0,0 +1,300 @@
+//! The shards of claims: one writer for each shard that this daemon has changes for, and the calls to the shard's owner.
+//!
+//! Every entry host may write every shard. Sending the changes of a shard to one of them groups them into few writes.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::fmt;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use hawthornpost_core::claim::{
+    Batch, BatchCommand, BatchEvent, Key, Policy, Put, Record, SHARDS, Segment, Ticket, Verdict, shard_name,
+};
+use hawthornpost_core::clock::Instant;
+use hawthornpost_core::platform::{Failure, Plural};
+use linkme::distributed_slice;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use tokio::sync::oneshot;
+use tokio::task::AbortHandle;
+
+use crate::error::{Kind, Result};
+use crate::kernel::Context;
+use crate::members::{Member, Members};
+use crate::peer::{self, METHODS, Method};
+use crate::platform;
+use crate::plugin::{PLUGINS, Plugin, Stage};
+
+/// The part of the time limit of a peer call that the owner may use; the rest is for the way back.
+const OWNER_SHARE: f64 = 0.8;
+
+/// Sends changes to the owners of their shards, or writes them itself.
+pub struct Claims {
+    context: Rc<Context>,
+    writers: RefCell<HashMap<u8, Rc<Writer>>>,
+}
+
+/// The writer of one shard.
+struct Writer {
+    context: Rc<Context>,
+    name: String,
+    batch: RefCell<Batch>,
+    waiting: RefCell<HashMap<Ticket, oneshot::Sender<Verdict>>>,
+    next: Cell<u64>,
+    alarm: RefCell<Option<(Instant, AbortHandle)>>,
+}
+
+/// The body of `claim_put`.
+#[derive(Debug, Serialize, Deserialize)]
+struct Message {
+    shard: u8,
+    put: Put,
+    wait_ms: u64,
+}
+
+impl Claims {
+    /// Has a change made by the owner of the shard. When the owner cannot say what became of it, this daemon writes it;
+    /// making a change twice is harmless, because a claim is found again by its id.
+    pub async fn put(&self, put: Put, wait: Duration) -> Verdict {
+        let shard = put.key().shard();
+        let owner = self.owner(shard);
+        if owner.entry == self.context.settings().entry.name {
+            return self.write(put, wait).await;
+        }
+        let start = self.context.timer().now();
+        let asked = self.ask(&owner, shard, &put, wait).await;
+        if !matches!(asked, Verdict::Unknown) {
+            return asked;
+        }
+        let rest = wait.saturating_sub(self.context.timer().now().since(start));
+        match self.write(put, rest).await {
+            // The owner may still write what it was sent.
+            Verdict::Refused => Verdict::Unknown,
+            verdict => verdict,
+        }
+    }
+
+    /// Makes a change without help of the owner.
+    pub async fn write(&self, put: Put, wait: Duration) -> Verdict {
+        let writer = self.writer(put.key().shard());
+        let until = self.context.timer().now() + wait;
+        let answer = Writer::put(&writer, put, until);
+        answer.await.unwrap_or(Verdict::Unknown)
+    }
+
+    /// Reads the record of a key from a segment.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer or the segment has expired.
+    pub async fn read_segment(&self, name: &str, key: &Key) -> std::result::Result<Option<Record>, Failure> {
+        let client = self.context.part::<platform::Client>();
+        let (_, segment) = client
+            .read::<Segment>(Plural::Claims, name)
+            .await?
+            .ok_or(Failure::Missing)?;
+        Ok(segment.records.into_iter().find(|record| record.key == *key))
+    }
+
+    async fn ask(&self, owner: &Member, shard: u8, put: &Put, wait: Duration) -> Verdict {
+        let limit = self.context.settings().peers.timeout.mul_f64(OWNER_SHARE).min(wait);
+        let message = Message {
+            shard,
+            put: put.clone(),
+            wait_ms: u64::try_from(limit.as_millis()).unwrap_or(u64::MAX),
+        };
+        let client = self.context.part::<peer::Client>();
+        client
+            .call(owner.peers, "claim_put", &message)
+            .await
+            .unwrap_or_else(|error| {
+                log::debug!("{error}");
+                Verdict::Unknown
+            })
+    }
+
+    /// Rendezvous hashing keeps most shards at their owner when an entry host comes or goes.
+    fn owner(&self, shard: u8) -> Member {
+        let members = self.context.part::<Members>();
+        let weight = |member: &Member| {
+            let mut hasher = blake3::Hasher::new();
+            hasher.update(member.entry.as_str().as_bytes()).update(&[0, shard]);
+            *hasher.finalize().as_bytes()
+        };
+        let staying = members.all().into_iter().filter(|member| !member.leaving);
+        staying.max_by_key(weight).unwrap_or_else(|| members.own())
+    }
+
+    fn writer(&self, shard: u8) -> Rc<Writer> {
+        let mut writers = self.writers.borrow_mut();
+        let writer = writers
+            .entry(shard)
+            .or_insert_with(|| Rc::new(Writer::new(&self.context, shard)));
+        Rc::clone(writer)
+    }
+}
+
+impl Writer {
+    fn new(context: &Rc<Context>, shard: u8) -> Self {
+        let policy = Policy {
+            retention: context.settings().limits.action_retention,
+            ..Policy::default()
+        };
+        Self {
+            context: Rc::clone(context),
+            name: shard_name(shard),
+            batch: RefCell::new(Batch::new(shard, policy)),
+            waiting: RefCell::default(),
+            next: Cell::new(0),
+            alarm: RefCell::default(),
+        }
+    }
+
+    fn put(writer: &Rc<Self>, put: Put, until: Instant) -> oneshot::Receiver<Verdict> {
+        let ticket = Ticket::new(writer.next.replace(writer.next.get() + 1));
+        let (sender, answer) = oneshot::channel();
+        writer.waiting.borrow_mut().insert(ticket, sender);
+        let wall_ms = unix_ms();
+        let event = BatchEvent::Put {
+            ticket,
+            put,
+            until,
+            wall_ms,
+        };
+        Self::handle(writer, event);
+        answer
+    }
+
+    fn handle(writer: &Rc<Self>, event: BatchEvent) {
+        let now = writer.context.timer().now();
+        let commands = writer.batch.borrow_mut().handle(now, event);
+        for command in commands {
+            match command {
+                BatchCommand::Reply(ticket, verdict) => writer.reply(ticket, verdict),
+                command => {
+                    tokio::task::spawn_local(Self::call(Rc::clone(writer), command));
+                }
+            }
+        }
+        Self::set_alarm(writer);
+    }
+
+    fn reply(&self, ticket: Ticket, verdict: Verdict) {
+        let waiting = self.waiting.borrow_mut().remove(&ticket);
+        if waiting.is_some_and(|sender| sender.send(verdict).is_err()) {
+            log::debug!("nobody waits for a change of {} any more", self.name);
+        }
+    }
+
+    async fn call(writer: Rc<Self>, command: BatchCommand) {
+        let client = writer.context.part::<platform::Client>();
+        let event = match command {
+            BatchCommand::Read => BatchEvent::Read(client.read(Plural::Claims, &writer.name).await),
+            BatchCommand::Fetch(name) => {
+                let found = client.read(Plural::Claims, &name).await;
+                let segment = found.and_then(|found| found.ok_or(Failure::Missing));
+                BatchEvent::Fetched(name, segment.map(|(_, segment)| segment))
+            }
+            BatchCommand::Create(name, segment) => {
+                let created = client.put(Plural::Claims, &name, None, &segment).await;
+                BatchEvent::Created(created.map(|_| ()))
+            }
+            BatchCommand::Write(base, shard) => {
+                BatchEvent::Written(client.put(Plural::Claims, &writer.name, base, &shard).await)
+            }
+            BatchCommand::Delete(names) => return delete(&client, names).await,
+            BatchCommand::Reply(..) => return,
+        };
+        Self::handle(&writer, event);
+    }
+
+    fn set_alarm(writer: &Rc<Self>) {
+        let deadline = writer.batch.borrow().deadline();
+        let mut alarm = writer.alarm.borrow_mut();
+        if alarm.as_ref().map(|(at, _)| *at) == deadline {
+            return;
+        }
+        if let Some((_, task)) = alarm.take() {
+            task.abort();
+        }
+        *alarm = deadline.map(|at| {
+            let waker = Rc::clone(writer);
+            let task = tokio::task::spawn_local(async move {
+                waker.context.timer().sleep_until(at).await;
+                // The task must not abort itself when the next alarm is set.
+                waker.alarm.borrow_mut().take();
+                Self::handle(&waker, BatchEvent::Tick);
+            });
+            (at, task.abort_handle())
+        });
+    }
+}
+
+/// An expired segment that stays behind takes room and is not read any more, so that nothing is tried again.
+async fn delete(client: &platform::Client, names: Vec<String>) {
+    for name in names {
+        if let Err(error) = client.delete(Plural::Claims, &name).await {
+            log::debug!("segment {name} stays behind: {error}");
+        }
+    }
+}
+
+/// Returns the time of day in milliseconds of Unix time.
+pub(crate) fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
+impl fmt::Debug for Claims {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Claims")
+            .field("writers", &self.writers.borrow().len())
+            .finish_non_exhaustive()
+    }
+}
+
+#[distributed_slice(PLUGINS)]
+static CLAIMS: Plugin = Plugin {
+    name: "claims",
+    stage: Stage::Work,
+    start,
+};
+
+#[distributed_slice(METHODS)]
+static PUT: Method = Method {
+    name: "claim_put",
+    handle: |context, body| Box::pin(async move { peer::encode(&receive(&context, body).await?) }),
+};
+
+async fn receive(context: &Rc<Context>, body: serde_json::Value) -> Result<Verdict> {
+    let message = peer::decode::<Message>(body)?;
+    if message.shard != message.put.key().shard() || message.shard >= SHARDS {
+        return Err(Kind::BadRequest {
+            detail: format!("the key does not belong to shard {}", message.shard),
+            remedy: "run the same release on all entry hosts".to_owned(),
+        }
+        .into());
+    }
+    let wait = Duration::from_millis(message.wait_ms).min(context.settings().peers.timeout);
+    Ok(context.part::<Claims>().write(message.put, wait).await)
+}
+
+#[expect(clippy::unnecessary_wraps, reason = "the signature of all plug-ins")]
+fn start(context: &Rc<Context>) -> Result<()> {
+    let claims = Rc::new(Claims {
+        context: Rc::clone(context),
+        writers: RefCell::default(),
+    });
+    let dumped = Rc::clone(&claims);
+    context.on_dump("claims", move || {
+        let writers = dumped.writers.borrow();
+        let shards = writers.values().map(|writer| {
+            let batch = writer.batch.borrow();
+            json!({ "shard": writer.name, "pending": batch.pending(), "indexed_keys": batch.index().len() })
+        });
+        json!(shards.collect::<Vec<_>>())
+    });
+    context.provide(claims);
+    Ok(())
+}
--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -74,6 +74,16 @@
     #[error("{detail}; retry after {retry_after:?}")]
     Unavailable { detail: String, retry_after: Duration },
     #[error("{detail}; {remedy}")]
+    NotRun {
+        scope: &'static str,
+        detail: String,
+        remedy: String,
+    },
+    #[error("it is not known whether the action ran; ask for it at GET {lookup}")]
+    OutcomeUnknown { lookup: String },
+    #[error("the key was used for another path or body; use a new key for each action")]
+    KeyReused,
+    #[error("{detail}; {remedy}")]
     Failed { detail: String, remedy: String },
 }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,7 +3,9 @@
 //! | module | concern |
 //! |--------|---------|
 //! | [`access`] | who may call what |
+//! | [`actions`] | calls that run at most once |
 //! | [`admin`] | operators' endpoints |
+//! | [`claims`] | writers of the shards of claims |
 //! | [`client`] | HTTP client with a connection per call |
 //! | [`completions`] | generations for callers |
 //! | [`configuration`] | the configuration in force |
@@ -26,7 +28,9 @@
 //! | [`timer`] | the timer service, driven by the clock |
 
 pub mod access;
+pub mod actions;
 pub mod admin;
+pub mod claims;
 pub mod client;
 pub mod completions;
 pub mod configuration;
--- a/crates/daemon/src/problem.rs
+++ b/crates/daemon/src/problem.rs
@@ -18,6 +18,9 @@
     detail: String,
     remedy: String,
     code: &'static str,
+    /// What a "not run" covers: the key, or this request only.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    scope: Option<&'static str>,
     error: Compatible,
     #[serde(skip)]
     retry_after: Option<Duration>,
@@ -45,6 +48,7 @@
             detail: detail.to_owned(),
             remedy: remedy.to_owned(),
             code,
+            scope: scope(error.kind()),
             error: Compatible {
                 r#type: if status.is_server_error() {
                     "server_error"
@@ -91,6 +95,17 @@
         Kind::NotFound { .. } => (StatusCode::NOT_FOUND, "not_found", "There is no such thing"),
         Kind::Method { .. } => (StatusCode::METHOD_NOT_ALLOWED, "method", "The method is not allowed"),
         Kind::Conflict { .. } => (StatusCode::CONFLICT, "conflict", "Another request was first"),
+        Kind::NotRun { .. } => (StatusCode::SERVICE_UNAVAILABLE, "not_run", "The action did not run"),
+        Kind::OutcomeUnknown { .. } => (
+            StatusCode::GATEWAY_TIMEOUT,
+            "outcome_unknown",
+            "The outcome is not known",
+        ),
+        Kind::KeyReused => (
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "key_reused",
+            "The key belongs to another action",
+        ),
         Kind::Unavailable { .. } => (StatusCode::SERVICE_UNAVAILABLE, "unavailable", "Refused for now"),
         Kind::Connect { .. }
         | Kind::Transport { .. }
@@ -116,6 +131,13 @@
     }
 }
 
+fn scope(kind: &Kind) -> Option<&'static str> {
+    match kind {
+        Kind::NotRun { scope, .. } => Some(scope),
+        _ => None,
+    }
+}
+
 fn retry_after(kind: &Kind) -> Option<Duration> {
     match kind {
         Kind::Unavailable { retry_after, .. } => Some(*retry_after),
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -1,28 +1,28 @@
 //! Plain services for callers: actions and lookups.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use hawthornpost_core::id::{Request, Service};
+use bytes::Bytes;
+use hawthornpost_core::claim::Key;
+use hawthornpost_core::id::{self, Service};
 use hawthornpost_core::wire::REQUEST_HEADER;
-use http_body_util::BodyExt;
-use hyper::header::HeaderValue;
-use hyper::{Method, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::header::{CONTENT_TYPE, HeaderValue, TRANSFER_ENCODING};
+use hyper::http::response::Parts;
+use hyper::{Method, Request, Response};
 use linkme::distributed_slice;
-use serde_json::json;
 
 use crate::access::Access;
+use crate::actions::{Action, Actions, KEY_HEADER};
 use crate::client;
 use crate::configuration::Current;
 use crate::error::{Error, Kind, Result};
 use crate::http::{Body, Call, ROUTES, Route, full};
 use crate::kernel::Context;
-use crate::platform::{self, Metadata, Object, Written};
 use crate::routing::Routing;
 
-/// Header with the caller's key of an action.
-const KEY_HEADER: &str = "idempotency-key";
-
 #[distributed_slice(ROUTES)]
 static ACTION: Route = Route {
     method: || Method::POST,
@@ -41,26 +41,39 @@
 
 async fn act(context: Rc<Context>, call: Call) -> Result<Response<Body>> {
     let (service, limit) = service(&context, &call)?;
-    let key = call.header(KEY_HEADER).map(str::to_owned);
-    let key =
-        key.ok_or_else(|| Error::bad_request("the header Idempotency-Key is missing", "send one for each action"))?;
-    let account = call.account()?.clone();
-    let path = format!("/{}", call.parameter("path"));
-    let body = call.body(&context).await?;
-    claim(&context, &format!("{account}/{service}/{key}")).await?;
-    let mut request = client::with_body(Method::POST, path, body);
-    if let Ok(value) = HeaderValue::from_str(&key) {
-        request.headers_mut().insert(KEY_HEADER, value);
-    }
-    forward(&context, &service, limit, request).await
+    let idempotency_key = call.request.headers().get(KEY_HEADER).cloned();
+    let idempotency_key = idempotency_key
+        .ok_or_else(|| Error::bad_request("the header Idempotency-Key is missing", "send one for each action"))?;
+    let text = idempotency_key
+        .to_str()
+        .map_err(|source| Error::bad_request(source, "use visible ASCII characters in the Idempotency-Key"))?;
+    let action = Action {
+        key: Key::new(call.account()?, &service, text),
+        service,
+        limit,
+        path: path(&call),
+        content_type: call.request.headers().get(CONTENT_TYPE).cloned(),
+        idempotency_key,
+        body: call.body(&context).await?,
+    };
+    context.part::<Actions>().run(action).await
 }
 
 async fn look_up(context: Rc<Context>, call: Call) -> Result<Response<Body>> {
     let (service, limit) = service(&context, &call)?;
-    let request = client::request(Method::GET, format!("/{}", call.parameter("path")));
+    let request = client::request(Method::GET, path(&call));
     forward(&context, &service, limit, request).await
 }
 
+/// Returns the path at the target, with the query.
+fn path(call: &Call) -> String {
+    let path = call.parameter("path");
+    match call.request.uri().query() {
+        Some(query) => format!("/{path}?{query}"),
+        None => format!("/{path}"),
+    }
+}
+
 fn service(context: &Context, call: &Call) -> Result<(Service, Duration)> {
     let name = Service::new(call.parameter("service"))?;
     let document = context.part::<Current>().document();
@@ -69,58 +82,43 @@
     Ok((name, Duration::from_millis(rule.timeout_ms)))
 }
 
-/// Claims an action, so that it is sent at most once.
-async fn claim(context: &Context, key: &str) -> Result<()> {
-    let object = Object {
-        metadata: Metadata {
-            name: blake3::hash(key.as_bytes()).to_hex().to_string(),
-            resource_version: String::new(),
-        },
-        spec: json!({ "entry": context.settings().entry.name }),
-        status: serde_json::Value::Null,
-    };
-    match context.part::<platform::Client>().create("claims", &object).await? {
-        Written::Done(_) => Ok(()),
-        Written::Conflict => Err(Error::conflict(
-            "an action with this key was sent before",
-            "look up its outcome",
-        )),
-    }
-}
-
 async fn forward(
     context: &Context,
     service: &Service,
     limit: Duration,
-    mut request: hyper::Request<http_body_util::Full<bytes::Bytes>>,
+    request: Request<Full<Bytes>>,
 ) -> Result<Response<Body>> {
     let choice = context.part::<Routing>().instance(service, &[])?;
-    let id = Request::from_random(rand::random()).to_string();
+    let (head, body) = exchange(context, choice.address, limit, request).await?;
+    let mut response = Response::from_parts(head, full(body));
+    response.headers_mut().remove(TRANSFER_ENCODING);
+    Ok(response)
+}
+
+/// Calls a target and checks that the answer belongs to this very call.
+pub(crate) async fn exchange(
+    context: &Context,
+    address: SocketAddr,
+    limit: Duration,
+    mut request: Request<Full<Bytes>>,
+) -> Result<(Parts, Bytes)> {
+    let id = id::Request::from_random(rand::random()).to_string();
     if let Ok(value) = HeaderValue::from_str(&id) {
         request.headers_mut().insert(REQUEST_HEADER, value);
     }
     let exchange = async {
-        let (head, body) = client::open(choice.address, request).await?.into_parts();
-        let address = choice.address;
-        let body = body
-            .collect()
-            .await
-            .map_err(|source| Kind::Transport { address, source })?;
+        let (head, body) = client::open(address, request).await?.into_parts();
+        let body = body.collect().await;
+        let body = body.map_err(|source| Kind::Transport { address, source })?;
         Ok::<_, Error>((head, body.to_bytes()))
     };
-    let address = choice.address;
-    let (head, body) = context
-        .timer()
-        .limit(limit, exchange)
-        .await
-        .ok_or(Kind::Timeout { address, limit })??;
+    let result = context.timer().limit(limit, exchange).await;
+    let (head, body) = result.ok_or(Kind::Timeout { address, limit })??;
     if head.headers.get(REQUEST_HEADER).and_then(|value| value.to_str().ok()) != Some(id.as_str()) {
         return Err(Error::failed(
             "the target answered another request",
             "look up the outcome of the action",
         ));
     }
-    let mut response = Response::from_parts(head, full(body));
-    response.headers_mut().remove(hyper::header::TRANSFER_ENCODING);
-    Ok(response)
+    Ok((head, body))
 }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -51,6 +51,8 @@
     pub timeout: Duration,
     /// How often the configuration is polled.
     pub poll: Duration,
+    /// The number of calls a second that this daemon may make.
+    pub calls_per_second: u32,
 }
 
 /// Section `[peers]`.
@@ -118,6 +120,8 @@
     pub drain_limit: Duration,
     /// The number of connections from callers that are open at the same time.
     pub connections: usize,
+    /// How long the keys of actions are remembered.
+    pub action_retention: Duration,
 }
 
 /// A secret that is never printed.
@@ -226,11 +230,17 @@
         address: section.required("address", ADDRESS)?,
         timeout: section.millis("timeout_ms", 1000, 10..=60_000)?,
         poll: section.millis("poll_ms", 10_000, 100..=600_000)?,
+        calls_per_second: calls(&mut section)?,
     };
     section.finish()?;
     Ok(settings)
 }
 
+fn calls(section: &mut Section<'_>) -> Result<u32> {
+    let calls = section.number("calls_per_second", 100, 1..=10_000)?;
+    Ok(u32::try_from(calls).unwrap_or(u32::MAX))
+}
+
 fn peers(mut section: Section<'_>) -> Result<PeerSettings> {
     let settings = PeerSettings {
         listen: section.required("listen", ADDRESS)?,
@@ -289,6 +299,7 @@
         address_lifetime: section.millis("address_lifetime_ms", 10_000, 100..=600_000)?,
         drain_limit: section.millis("drain_limit_ms", 600_000, 0..=86_400_000)?,
         connections: bytes(&mut section, "connections", 20_000)?,
+        action_retention: section.millis("action_retention_ms", 86_400_000, 60_000..=2_592_000_000)?,
     };
     if settings.request_bytes < settings.body_bytes {
         let value = settings.request_bytes.to_string();
