Wire configuration, members and rollouts into the daemon

The thin path read one whole document by polling, knew members by pinging fixed seeds and always served the model's version. Tests and the path experiment store a head and chunks instead of a whole document.

--- a/crates/core/src/rollout_board.rs
+++ b/crates/core/src/rollout_board.rs
@@ -77,6 +77,8 @@
     pub from: Version,
     /// The version that traffic moves to.
     pub to: Version,
+    /// When the move begins.
+    pub start: Timestamp,
     /// The deadline.
     pub deadline: Timestamp,
     /// The share.
@@ -193,6 +195,17 @@
         })
     }
 
+    /// Returns the targets of a version that may be used at its present share, or `None` outside a rollout.
+    pub fn in_use(&self, model: &Model, version: &Version) -> Option<&[Target]> {
+        let known = self.moves.values().find(|known| known.rule.model == *model)?;
+        match self.side(model, version)? {
+            // Requests stay on the version they began with; when its share is taken back, any target may finish them.
+            Side::New if known.share.new_targets == 0 => Some(&known.new),
+            Side::New => Some(first(&known.new, known.share.new_targets)),
+            Side::Old => Some(first(&known.old, known.share.old_targets)),
+        }
+    }
+
     /// Returns which side of a rollout of the model a version is on.
     pub fn side(&self, model: &Model, version: &Version) -> Option<Side> {
         let known = self.moves.values().find(|known| known.rule.model == *model)?;
@@ -374,6 +387,7 @@
             model: self.rule.model.clone(),
             from: self.rule.from.clone(),
             to: self.rule.to.clone(),
+            start: self.rule.start,
             deadline: self.rule.deadline,
             share: self.share,
             reason: match &verdict {
--- a/crates/core/src/rollout_evidence.rs
+++ b/crates/core/src/rollout_evidence.rs
@@ -11,16 +11,19 @@
 /// days for the evidence that a decision takes.
 const MINOR_ROUTE: f64 = 0.05;
 
-/// Counters of the old version and of targets change with every request and decide nothing within seconds; they are
-/// published this often, which keeps the bytes between entries small.
-const SLOW_PUBLICATION: SignedDuration = SignedDuration::from_secs(20);
+/// The old version's requests are the measure for the new one's; a measure that is older delays verdicts.
+const ROUTE_PUBLICATION: SignedDuration = SignedDuration::from_secs(5);
+/// Counters of targets change with every request and decide nothing within seconds; publishing them rarely keeps the
+/// bytes between entries small.
+const TARGET_PUBLICATION: SignedDuration = SignedDuration::from_secs(20);
 
 /// The ledgers of all entries and their sums.
 #[derive(Clone, Debug, Default)]
 pub struct Evidence {
     ledgers: BTreeMap<(Origin, Side), Ledger>,
     unpublished: BTreeSet<Key>,
-    published_at: Option<Timestamp>,
+    routes_published: Option<Timestamp>,
+    targets_published: Option<Timestamp>,
     routes: BTreeMap<(Side, Route), BTreeMap<u32, Counters>>,
     targets: BTreeMap<(Side, Target), BTreeMap<u32, Counters>>,
     /// The sums of each route over all intervals.
@@ -43,15 +46,14 @@
 
     /// Makes this entry's counts visible to others: those of the new version's requests at once, the rest in steps.
     pub fn publish(&mut self, own: &Origin, now: Timestamp) {
-        let is_due = self
-            .published_at
-            .is_none_or(|at| now.duration_since(at) >= SLOW_PUBLICATION);
-        if is_due {
-            self.published_at = Some(now);
-        }
+        let routes = is_due(&mut self.routes_published, now, ROUTE_PUBLICATION);
+        let targets = is_due(&mut self.targets_published, now, TARGET_PUBLICATION);
         let ledgers = &mut self.ledgers;
         self.unpublished.retain(|key| {
-            let publishes = is_due || key.is_urgent();
+            let publishes = match key {
+                Key::Route(_, side, _) => routes || *side == Side::New,
+                Key::Target(..) => targets,
+            };
             if let (true, Some(ledger)) = (publishes, ledgers.get_mut(&(own.clone(), key.side()))) {
                 ledger.publish(key);
             }
@@ -160,3 +162,12 @@
             .map_or(0, |counters| u64::from(counters.requests))
     }
 }
+
+/// Returns whether a publication is due and notes it.
+fn is_due(last: &mut Option<Timestamp>, now: Timestamp, interval: SignedDuration) -> bool {
+    let is_due = last.is_none_or(|at| now.duration_since(at) >= interval);
+    if is_due {
+        *last = Some(now);
+    }
+    is_due
+}
--- a/crates/core/src/rollout_ledger.rs
+++ b/crates/core/src/rollout_ledger.rs
@@ -48,11 +48,6 @@
         }
     }
 
-    /// Returns whether the cell is about the requests that a decision waits for.
-    pub(crate) const fn is_urgent(&self) -> bool {
-        matches!(self, Self::Route(_, Side::New, _))
-    }
-
     /// Returns the keys under which a sample counts.
     pub(crate) fn of(sample: &Sample, interval: u32) -> impl Iterator<Item = Self> {
         let route = Self::Route(sample.route.clone(), sample.side, interval);
--- a/crates/daemon/src/completions.rs
+++ b/crates/daemon/src/completions.rs
@@ -14,14 +14,14 @@
 use serde_json::json;
 
 use crate::access::Access;
-use crate::configuration::Current;
+use crate::configuration::{Configuration, Current};
 use crate::engine::{self, Stream};
 use crate::error::{Error, Result};
 use crate::event::Event;
 use crate::http::{self, Body, Call, ROUTES, Route};
 use crate::kernel::{Context, Phase};
-use crate::rollouts::Rollouts;
-use crate::routing::{Query, Routing};
+use crate::rollouts::{Observation, Origin, Rollouts};
+use crate::routing::{Choice, Query, Routing};
 
 /// The number of events that wait for a slow caller before the engine's stream is no longer read.
 const QUEUE_EVENTS: usize = 64;
@@ -58,6 +58,7 @@
             lifetime,
         ));
     }
+    context.part::<Configuration>().check_fresh()?;
     let account = call.account()?.clone();
     let completion = call.json::<Completion>(&context).await?;
     let generate = prepare(&context, &completion)?;
@@ -146,14 +147,26 @@
         loop {
             let choice = routing.engine(&self.query(&tried))?;
             tried.push(choice.target.clone());
-            match self.attempt(choice.address, output).await {
-                Ok(finish) => return Ok(finish),
-                Err(error) => Event::AttemptFailed {
-                    request: &self.generate.request_id,
-                    target: &choice.target,
-                    error: &error,
+            match self.attempt(&choice, output).await {
+                Ok(finish) => {
+                    self.observe(&choice.target, Observation::Finished);
+                    return Ok(finish);
+                }
+                Err(error) => {
+                    let is_refusal = matches!(error.kind(), crate::error::Kind::Status { .. });
+                    let observation = if is_refusal {
+                        Observation::Failed
+                    } else {
+                        Observation::Lost
+                    };
+                    self.observe(&choice.target, observation);
+                    Event::AttemptFailed {
+                        request: &self.generate.request_id,
+                        target: &choice.target,
+                        error: &error,
+                    }
+                    .log();
                 }
-                .log(),
             }
             self.generate.attempt = self.generate.attempt.next();
         }
@@ -172,9 +185,27 @@
         }
     }
 
-    async fn attempt(&mut self, address: std::net::SocketAddr, output: &mut Output) -> Result<Finish> {
-        let mut stream = Stream::start(address, &self.generate).await?;
+    fn observe(&self, target: &Target, observation: Observation) {
+        let origin = Origin {
+            account: &self.account,
+            model: &self.generate.model,
+            version: &self.generate.version,
+            target,
+        };
+        self.context.part::<Rollouts>().observe(origin, observation);
+    }
+
+    async fn attempt(&mut self, choice: &Choice, output: &mut Output) -> Result<Finish> {
+        let mut last = self.context.timer().now();
+        let mut stream = Stream::start(choice.address, &self.generate).await?;
         while let Some(engine::Event::Frame(frame)) = stream.next().await? {
+            let now = self.context.timer().now();
+            let observation = match frame.first {
+                0 => Observation::FirstToken(now - last),
+                _ => Observation::Gap(now - last),
+            };
+            self.observe(&choice.target, observation);
+            last = now;
             if let Some(finish) = self.accept(frame, output).await? {
                 return Ok(finish);
             }
--- /dev/null
+++ b/crates/daemon/src/configuration_admin.rs
@@ -0,0 +1,235 @@
+//! Operators' endpoints for the configuration.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use hawthornpost_core::config::{
+    Ask, Chunk, Document, Event as Seen, Head, Held, Outcome, Past, Proposal, Reply, Status, Writer, difference,
+};
+use hawthornpost_core::inventory::Register;
+use hawthornpost_core::rules::Rules;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Method, Response, StatusCode};
+use jiff::Timestamp;
+use linkme::distributed_slice;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+
+use crate::access::Access;
+use crate::configuration::{Configuration, Current};
+use crate::configuration_store as store;
+use crate::error::{Error, Result};
+use crate::http::{self, Body, Call, ROUTES, Route};
+use crate::kernel::Context;
+use crate::members::{self, Members};
+use crate::platform;
+use crate::problem::Problem;
+
+/// How long a change may take; operators wait for the answer.
+const WRITE_LIMIT: Duration = Duration::from_secs(10);
+/// The pause between two tries of a step that the platform did not answer.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// How long an entry host waits for the version that it names in a conflict.
+const CATCH_UP_LIMIT: Duration = Duration::from_secs(2);
+
+#[distributed_slice(ROUTES)]
+static SHOW: Route = Route {
+    method: || Method::GET,
+    path: "/v1/admin/config",
+    access: Access::Operator,
+    handle: |context, _| Box::pin(async move { Ok(http::json(&*context.part::<Current>().document())) }),
+};
+
+#[distributed_slice(ROUTES)]
+static APPLY: Route = Route {
+    method: || Method::POST,
+    path: "/v1/admin/config",
+    access: Access::Operator,
+    handle: |context, call| Box::pin(apply(context, call)),
+};
+
+#[distributed_slice(ROUTES)]
+static HISTORY: Route = Route {
+    method: || Method::GET,
+    path: "/v1/admin/config/history",
+    access: Access::Operator,
+    handle: |context, _| Box::pin(async move { Ok(http::json(&history(&context))) }),
+};
+
+#[distributed_slice(ROUTES)]
+static STATUS: Route = Route {
+    method: || Method::GET,
+    path: "/v1/admin/config/status",
+    access: Access::Operator,
+    handle: |context, call| Box::pin(async move { Ok(http::json(&status(&context, &call).await?)) }),
+};
+
+/// A change as operators send it.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Change {
+    base: u64,
+    author: String,
+    inventory: Register,
+    rules: Rules,
+}
+
+#[derive(Serialize)]
+struct Versions {
+    versions: Vec<Past>,
+    displaced: Vec<Past>,
+}
+
+async fn apply(context: Rc<Context>, call: Call) -> Result<Response<Body>> {
+    let change = call.json::<Change>(&context).await?;
+    let mut document = Document {
+        version: change.base + 1,
+        inventory: change.inventory,
+        rules: change.rules,
+    };
+    document.rules.check(&document.inventory)?;
+    let chunks = Chunk::cut(&document)?;
+    let proposal = Proposal {
+        chunks: chunks.iter().map(|chunk| chunk.hash).collect(),
+        author: change.author,
+        at: Timestamp::now(),
+        nonce: rand::random(),
+    };
+    match write(&context, change.base, proposal, &chunks).await {
+        Outcome::Accepted(head) => {
+            document.version = head.version;
+            let version = head.version;
+            let accepted = Held {
+                head,
+                chunks,
+                document: Arc::new(document),
+            };
+            context.part::<Configuration>().feed(Seen::Written(accepted));
+            Ok(http::json(&json!({ "version": version })))
+        }
+        Outcome::Conflict(head) => Ok(conflict(&context, change.base, &head).await),
+        Outcome::Unsettled => Err(Error::unavailable(
+            "the platform has another version than this entry host; it is being settled",
+            RETRY_PAUSE,
+        )),
+        Outcome::Unavailable => Err(Error::unavailable(
+            "the platform does not answer; nothing was changed",
+            CATCH_UP_LIMIT,
+        )),
+        Outcome::Unknown => Err(Error::failed(
+            "the platform did not confirm the change; it may or may not be accepted",
+            "look at the history before you apply it again",
+        )),
+    }
+}
+
+/// Carries out the steps of a write.
+async fn write(context: &Context, base: u64, proposal: Proposal, chunks: &[Chunk]) -> Outcome {
+    let configuration = context.part::<Configuration>();
+    let known = configuration.held().map(|held| held.head.digest);
+    let mut writer = Writer::new(base, known, proposal);
+    let end = context.timer().now() + WRITE_LIMIT;
+    let mut ask = Ask::ReadHead;
+    loop {
+        let reply = if context.timer().now() < end {
+            step(context, &ask, chunks).await
+        } else {
+            Some(Reply::GivenUp)
+        };
+        if let Some(reply) = reply {
+            ask = writer.handle(reply);
+        } else {
+            context.timer().sleep(RETRY_PAUSE).await;
+        }
+        if let Ask::Finish(outcome) = ask {
+            return outcome;
+        }
+    }
+}
+
+/// Carries out one step; `None` asks for another try.
+async fn step(context: &Context, ask: &Ask, chunks: &[Chunk]) -> Option<Reply> {
+    let client = context.part::<platform::Client>();
+    match ask {
+        Ask::ReadHead => context.part::<Configuration>().read().await.map(Reply::Head).ok(),
+        Ask::PutChunks => store::put_chunks(&client, chunks)
+            .await
+            .map(|()| Reply::ChunksStored)
+            .ok(),
+        Ask::PutHead { head, resource_version } => {
+            let answer = store::put_head(&client, head, resource_version.clone()).await;
+            answer.map(Reply::Put).ok()
+        }
+        Ask::Finish(_) => None,
+    }
+}
+
+/// Tells an operator what was accepted since the base.
+async fn conflict(context: &Context, base: u64, head: &Head) -> Response<Body> {
+    let current = context.part::<Current>();
+    let mut version = current.watch();
+    let caught_up = version.wait_for(|version| *version >= head.version);
+    if context.timer().limit(CATCH_UP_LIMIT, caught_up).await.is_none() {
+        log::debug!("version {} has not arrived yet", head.version);
+    }
+    let accepted = current.document();
+    let before = context.part::<Configuration>().recent(base);
+    let lines = before.map(|before| difference(&before, &accepted));
+    let shown = lines.iter().flatten().map(ToString::to_string).collect::<Vec<_>>();
+    let detail = format!(
+        "version {} of {} was accepted after version {base}",
+        head.version, head.author
+    );
+    let problem = Problem::new(&Error::conflict(
+        detail,
+        "look at the difference and apply again on top of it",
+    ));
+    let mut body = serde_json::to_value(&problem).unwrap_or_default();
+    body["version"] = json!(head.version);
+    body["difference"] = json!(shown);
+    let mut response = http::json(&body);
+    *response.status_mut() = StatusCode::CONFLICT;
+    let content_type = HeaderValue::from_static("application/problem+json");
+    response.headers_mut().insert(CONTENT_TYPE, content_type);
+    response
+}
+
+fn history(context: &Context) -> Value {
+    let Some(held) = context.part::<Configuration>().held() else {
+        return json!({ "versions": [] });
+    };
+    let own = std::iter::once(held.head.as_past());
+    let versions = Versions {
+        versions: own.chain(held.head.history.iter().cloned()).collect(),
+        displaced: held.head.displaced.clone(),
+    };
+    json!(versions)
+}
+
+/// Says which members have a version; those that lack it by what is known are asked.
+async fn status(context: &Rc<Context>, call: &Call) -> Result<Status> {
+    let query = call.request.uri().query().unwrap_or_default();
+    let version = match query.strip_prefix("version=") {
+        Some(text) => text.parse().map_err(|_source| {
+            Error::bad_request(
+                format!("version `{text}` is not a number"),
+                "use a version of the history",
+            )
+        })?,
+        None => context.part::<Current>().version(),
+    };
+    let members = context.part::<Members>();
+    let lacking = Status::of(version, &members.known()).lacking;
+    let asked = lacking.iter().filter_map(|entry| {
+        let address = members.peer_address(entry)?;
+        Some(async move { (entry, members::ask_reach(context, address).await) })
+    });
+    for (entry, reach) in join_all(asked).await {
+        if let Ok(reach) = reach {
+            members.note_config(entry, reach.version);
+        }
+    }
+    Ok(Status::of(version, &members.known()))
+}
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -86,6 +86,12 @@
     201 Info ConfigurationApplied { version } "configuration version {version} is applied"
     /// The configuration cannot be read.
     202 Warn ConfigurationUnread { error } "cannot read the configuration: {error}"
+    /// An accepted version was replaced because the platform went on from older contents.
+    203 Warn ConfigurationDisplaced { version, author } "configuration version {version} of {author} was displaced; apply it again"
+    /// A version is skipped.
+    204 Warn ConfigurationUndecodable { version, error } "configuration version {version} cannot be used: {error}"
+    /// The platform had older contents than this entry host.
+    205 Warn ConfigurationRestored { version } "the platform had older contents; configuration version {version} is written again"
     /// Calls to the platform fail.
     211 Warn PlatformLost { error } "the platform does not answer: {error}"
     /// Calls to the platform succeed again.
@@ -94,6 +100,10 @@
     301 Info MemberFound { entry, address } "entry {entry} at {address} is reachable"
     /// Another entry host cannot be called.
     302 Warn MemberLost { entry, error } "entry {entry} is not reachable: {error}"
+    /// All traffic of a model is on the new version.
+    311 Info RolloutDone { rollout } "rollout {rollout} is done"
+    /// All traffic of a model is back on the old version.
+    312 Warn RolloutReversed { rollout, reason } "rollout {rollout} is reversed: {reason}"
     /// One attempt ended without the whole answer.
     401 Warn AttemptFailed { request, target, error } "request {request}: the attempt at {target} failed: {error}"
     /// The caller is told that its answer is not whole.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -30,6 +30,8 @@
 pub mod client;
 pub mod completions;
 pub mod configuration;
+mod configuration_admin;
+mod configuration_store;
 pub mod engine;
 pub mod entries;
 mod error;
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -3,13 +3,14 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+use http_body_util::BodyExt;
 use hyper::{Method, StatusCode};
 use linkme::distributed_slice;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
 use crate::client;
-use crate::error::{Error, Result};
+use crate::error::{Error, Kind, Result};
 use crate::event::Event;
 use crate::kernel::Context;
 use crate::plugin::{PLUGINS, Plugin, Stage};
@@ -57,6 +58,13 @@
     is_lost: Cell<bool>,
 }
 
+#[derive(Deserialize)]
+struct Change {
+    r#type: String,
+    #[serde(default)]
+    object: Value,
+}
+
 #[derive(Deserialize)]
 struct List {
     items: Vec<Object>,
@@ -115,6 +123,38 @@
         .await
     }
 
+    /// Watches objects of a kind from a version on and passes on each, and `None` for a sign of life; ends with the
+    /// connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer or no longer knows the version.
+    pub async fn watch(&self, plural: &str, version: &str, mut seen: impl FnMut(Option<Object>)) -> Result<()> {
+        let path = format!("{ROOT}/{plural}?watch=1&resourceVersion={version}");
+        let response = client::open(self.address(), client::request(Method::GET, path)).await?;
+        if response.status() != StatusCode::OK {
+            return Err(self.refused(response.status(), b"the watch is refused"));
+        }
+        let address = self.address();
+        let mut body = response.into_body();
+        let mut buffer = Vec::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|source| Kind::Transport { address, source })?;
+            buffer.extend_from_slice(frame.data_ref().map_or(&[], |data| data));
+            while let Some(end) = buffer.iter().position(|byte| *byte == b'\n') {
+                let line = buffer.drain(..=end).collect::<Vec<_>>();
+                let change = client::decode::<Change>(address, &line)?;
+                match change.r#type.as_str() {
+                    "ADDED" | "MODIFIED" => seen(serde_json::from_value(change.object).ok()),
+                    "BOOKMARK" => seen(None),
+                    // A deletion or an error is settled by the next reading.
+                    _ => return Ok(()),
+                }
+            }
+        }
+        Ok(())
+    }
+
     async fn write(&self, method: Method, path: &str, object: &Object) -> Result<Written> {
         let (status, body) = self.exchange(method, path, Some(object)).await?;
         match status {
--- a/crates/daemon/src/routing.rs
+++ b/crates/daemon/src/routing.rs
@@ -15,6 +15,7 @@
 use crate::error::{Error, Result};
 use crate::kernel::Context;
 use crate::plugin::{PLUGINS, Plugin, Stage};
+use crate::rollouts::Rollouts;
 
 /// When a caller should come back after no target was left.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -65,7 +66,9 @@
     /// Fails with a time to retry when no engine of the version has room, and without one when none is left.
     pub fn engine(&self, query: &Query<'_>) -> Result<Choice> {
         let document = self.context.part::<Current>().document();
+        let rollouts = self.context.part::<Rollouts>();
         let engines = document.inventory.engines(query.model, query.version);
+        let engines = engines.filter(|(target, _)| rollouts.is_in_use(query.model, query.version, target));
         self.least_loaded(engines, query.tried).ok_or_else(|| no_engine(query))
     }
 
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
+use hawthornpost_core::config::{Chunk, Document, Head, Proposal};
 use hawthornpost_core::id::{Model, Version};
 use hawthornpost_daemon::client;
 use hawthornpost_standins::{Handle, engine, platform, service};
@@ -14,6 +15,7 @@
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
+use jiff::Timestamp;
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use serde_json::{Value, json};
@@ -106,16 +108,40 @@
 /// Starts a platform that holds a configuration.
 pub fn platform(network: Network, document: &Value) -> Handle {
     let settings = platform::Settings {
-        objects: vec![json!({
-            "plural": "configheads",
-            "metadata": { "name": "current" },
-            "spec": { "version": document["version"], "document": document },
-        })],
+        objects: objects(document),
         ..platform::Settings::default()
     };
     platform::start(network.platform(), settings).expect("the platform starts")
 }
 
+/// Builds the objects of a configuration: its chunks and the head.
+pub fn objects(document: &Value) -> Vec<Value> {
+    let document = serde_json::from_value::<Document>(document.clone()).expect("a document");
+    let chunks = Chunk::cut(&document).expect("chunks");
+    let proposal = Proposal {
+        chunks: chunks.iter().map(|chunk| chunk.hash).collect(),
+        author: "test".to_owned(),
+        at: Timestamp::UNIX_EPOCH,
+        nonce: 0,
+    };
+    let mut head = Head::following(None, proposal.clone());
+    while head.version < document.version {
+        head = Head::following(Some(&head), proposal.clone());
+    }
+    let mut objects = chunks
+        .iter()
+        .map(|chunk| {
+            json!({
+                "plural": "configchunks",
+                "metadata": { "name": chunk.hash.to_string() },
+                "spec": { "text": chunk.text },
+            })
+        })
+        .collect::<Vec<_>>();
+    objects.push(json!({ "plural": "configheads", "metadata": { "name": "current" }, "spec": head }));
+    objects
+}
+
 /// Starts an engine of version `version` that generates answers of `tokens` tokens.
 pub fn engine(network: Network, index: u8, version: &str, tokens: u32, gap: Duration) -> Handle {
     let version = Version::new(version).expect("a version");
--- a/crates/lab/src/path_daemon.rs
+++ b/crates/lab/src/path_daemon.rs
@@ -5,11 +5,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hawthornpost_core::config::{Chunk, Document, Head, Proposal};
 use hawthornpost_standins::{Handle, platform};
 use http_body_util::Empty;
 use hyper::Request;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use jiff::Timestamp;
 use procfs::process::Process;
 use serde_json::{Value, json};
 use tempfile::TempDir;
@@ -116,12 +118,26 @@
 }
 
 fn platform_settings(engine: SocketAddr) -> platform::Settings {
+    let document = serde_json::from_value::<Document>(document(engine)).expect("a document");
+    let chunks = Chunk::cut(&document).expect("chunks");
+    let proposal = Proposal {
+        chunks: chunks.iter().map(|chunk| chunk.hash).collect(),
+        author: "lab".to_owned(),
+        at: Timestamp::UNIX_EPOCH,
+        nonce: 0,
+    };
+    let head = Head::following(None, proposal);
+    let chunk_object = |chunk: &Chunk| {
+        json!({
+            "plural": "configchunks",
+            "metadata": { "name": chunk.hash.to_string() },
+            "spec": { "text": chunk.text },
+        })
+    };
+    let mut objects = chunks.iter().map(chunk_object).collect::<Vec<_>>();
+    objects.push(json!({ "plural": "configheads", "metadata": { "name": "current" }, "spec": head }));
     platform::Settings {
-        objects: vec![json!({
-            "plural": "configheads",
-            "metadata": { "name": "current" },
-            "spec": { "version": 1, "document": document(engine) },
-        })],
+        objects,
         ..platform::Settings::default()
     }
 }
