--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -34,6 +34,8 @@
 pub mod client;
 pub mod completions;
 pub mod configuration;
+mod configuration_admin;
+mod configuration_store;
 pub mod engine;
 pub mod entries;
 mod error;
