Add the deployment experiment

The two example deployments run with real daemons and in-process stand-ins under a seeded schedule of faults. Callers of all accounts stream generations, run actions and look things up; an oracle checks every answer.

--- /dev/null
+++ b/crates/lab/src/deployment_faults.rs
@@ -0,0 +1,206 @@
+//! The seeded schedule of faults.
+//!
+//! Each kind of part has tasks of its own. A task waits, picks a part and a fault, undoes the fault after a while and
+//! waits again, so that at most as many parts of a kind fail at the same time as there are tasks for it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hawthornpost_standins::Handle;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::json;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use crate::deployment_fleet::Fleet;
+use crate::deployment_plan::{Plan, Scope};
+
+/// The tasks that make engines fail.
+const ENGINE_TASKS: u64 = 2;
+/// The pause between two faults of a task for engines.
+const ENGINE_PAUSE_MS: std::ops::Range<u64> = 300..2500;
+/// The pause between two faults of entry hosts.
+const ENTRY_PAUSE_MS: std::ops::Range<u64> = 1000..4000;
+/// The pause between two faults of the platform.
+const PLATFORM_PAUSE_MS: std::ops::Range<u64> = 1500..6000;
+/// The pause between two faults of services.
+const SERVICE_PAUSE_MS: std::ops::Range<u64> = 300..2500;
+/// How long a fault lasts.
+const FAULT_MS: std::ops::Range<u64> = 400..5000;
+/// How many answers one fault loses or crosses.
+const ANSWERS: std::ops::Range<u32> = 1..4;
+
+/// One task of the schedule.
+struct Task {
+    fleet: Arc<Fleet>,
+    random: SmallRng,
+    end: Instant,
+}
+
+/// Runs the schedule to its end; afterwards no fault is in force.
+pub(crate) async fn run(fleet: &Arc<Fleet>, plan: &Plan) {
+    let end = Instant::now() + plan.time;
+    let mut tasks = JoinSet::new();
+    let task = |stream: u64| Task {
+        fleet: Arc::clone(fleet),
+        random: SmallRng::seed_from_u64(plan.seed << 8 | stream),
+        end,
+    };
+    if plan.faults.covers(Scope::Engines) {
+        for number in 0..ENGINE_TASKS {
+            tasks.spawn(task(number).engines());
+        }
+    }
+    if plan.faults.covers(Scope::Entries) {
+        tasks.spawn(task(10).entries());
+    }
+    if plan.faults.covers(Scope::Platform) {
+        tasks.spawn(task(20).platform());
+    }
+    if plan.faults.covers(Scope::Services) {
+        tasks.spawn(task(30).services());
+    }
+    if plan.faults == Scope::EntryOnce {
+        tasks.spawn(task(40).entry_once(plan.time));
+    }
+    while tasks.join_next().await.is_some() {}
+}
+
+impl Task {
+    /// Waits for the next fault; returns false when the schedule is over.
+    async fn pause(&mut self, range: std::ops::Range<u64>) -> bool {
+        let pause = Duration::from_millis(self.random.random_range(range));
+        tokio::time::sleep(pause).await;
+        Instant::now() < self.end
+    }
+
+    fn duration(&mut self) -> Duration {
+        Duration::from_millis(self.random.random_range(FAULT_MS))
+    }
+
+    async fn engines(mut self) {
+        while self.pause(ENGINE_PAUSE_MS).await {
+            let fleet = Arc::clone(&self.fleet);
+            let index = self.random.random_range(0..fleet.engines.len());
+            let kind = self.random.random_range(0..3);
+            let duration = self.duration();
+            let (name, handle) = &fleet.engines[index];
+            match kind {
+                0 => self.die(name, handle, duration).await,
+                1 => self.freeze(name, handle, duration).await,
+                _ => {
+                    fleet.note(&format!("{name}: open connections go silent"));
+                    set(handle, &json!({ "silence": true }));
+                }
+            }
+        }
+    }
+
+    async fn services(mut self) {
+        while self.pause(SERVICE_PAUSE_MS).await {
+            let fleet = Arc::clone(&self.fleet);
+            let index = self.random.random_range(0..fleet.services.len());
+            let kind = self.random.random_range(0..4);
+            let duration = self.duration();
+            let count = self.random.random_range(ANSWERS);
+            let (name, handle) = &fleet.services[index];
+            match kind {
+                0 => self.die(name, handle, duration).await,
+                1 => self.freeze(name, handle, duration).await,
+                2 => {
+                    fleet.note(&format!("{name}: loses {count} answers after the effect"));
+                    let lose = json!({ "share": 1.0, "count": count, "method": "POST" });
+                    set(handle, &json!({ "lose": lose }));
+                }
+                _ => {
+                    fleet.note(&format!("{name}: crosses {count} answers"));
+                    let kind = ["cross", "duplicate"][self.random.random_range(0..2)];
+                    set(handle, &json!({ kind: { "share": 1.0, "count": count } }));
+                }
+            }
+        }
+    }
+
+    async fn platform(mut self) {
+        while self.pause(PLATFORM_PAUSE_MS).await {
+            let fleet = Arc::clone(&self.fleet);
+            let kind = self.random.random_range(0..2);
+            let duration = self.duration();
+            let count = self.random.random_range(ANSWERS);
+            if kind == 0 {
+                fleet.note(&format!("platform: outage of {duration:?}"));
+                set(&fleet.platform, &json!({ "outage": true }));
+                tokio::time::sleep(duration).await;
+                set(&fleet.platform, &json!({ "outage": false }));
+            } else {
+                let method = ["PUT", "POST"][self.random.random_range(0..2)];
+                fleet.note(&format!("platform: loses {count} answers to {method} after the effect"));
+                let lose = json!({ "share": 1.0, "count": count, "method": method });
+                set(&fleet.platform, &json!({ "lose": lose }));
+            }
+        }
+    }
+
+    async fn entries(mut self) {
+        while self.pause(ENTRY_PAUSE_MS).await {
+            let count = self.fleet.entries().len();
+            let index = self.random.random_range(0..count);
+            let kind = self.random.random_range(0..2);
+            let duration = self.duration();
+            if kind == 0 {
+                self.restart(index, duration).await;
+            } else {
+                self.fleet
+                    .note(&format!("{}: frozen for {duration:?}", self.name(index)));
+                self.fleet.entries()[index].freeze();
+                tokio::time::sleep(duration).await;
+                self.fleet.entries()[index].thaw();
+            }
+        }
+    }
+
+    async fn entry_once(mut self, time: Duration) {
+        tokio::time::sleep(time / 3).await;
+        let count = self.fleet.entries().len();
+        let index = self.random.random_range(0..count);
+        self.restart(index, time / 6).await;
+    }
+
+    async fn restart(&self, index: usize, duration: Duration) {
+        self.fleet
+            .note(&format!("{}: killed, restarts after {duration:?}", self.name(index)));
+        self.fleet.entries()[index].kill();
+        tokio::time::sleep(duration).await;
+        let started = self.fleet.entries()[index].start();
+        let address = self.fleet.entries()[index].address;
+        let ready = match started {
+            Ok(()) => self.fleet.ready(address).await,
+            Err(error) => Err(error.to_string()),
+        };
+        let state = ready.err().unwrap_or_else(|| "ready again".to_owned());
+        self.fleet.note(&format!("{}: {state}", self.name(index)));
+    }
+
+    async fn die(&self, name: &str, handle: &Handle, duration: Duration) {
+        self.fleet.note(&format!("{name}: dies, restarts after {duration:?}"));
+        let restart_ms = u64::try_from(duration.as_millis()).unwrap_or(u64::MAX);
+        set(handle, &json!({ "restart_ms": restart_ms, "die": true }));
+        tokio::time::sleep(duration).await;
+    }
+
+    async fn freeze(&self, name: &str, handle: &Handle, duration: Duration) {
+        self.fleet.note(&format!("{name}: frozen for {duration:?}"));
+        set(handle, &json!({ "frozen": true }));
+        tokio::time::sleep(duration).await;
+        set(handle, &json!({ "frozen": false }));
+    }
+
+    fn name(&self, index: usize) -> String {
+        self.fleet.entries()[index].name.clone()
+    }
+}
+
+fn set(handle: &Handle, change: &serde_json::Value) {
+    handle.set_faults(change).expect("the fields of faults are known");
+}
--- /dev/null
+++ b/crates/lab/src/deployment_report.rs
@@ -0,0 +1,284 @@
+//! What the callers saw, and what was wrong.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+
+use crate::experiment::Table;
+
+/// Longer pauses count as this long.
+const MAX_MS: u64 = 600_000;
+/// The notes that are kept.
+const MAX_NOTES: usize = 200;
+
+/// What a caller knows about an action.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Known {
+    /// It ran.
+    Done,
+    /// It did not run.
+    NotRun,
+    /// The outcome is not known.
+    Unknown,
+}
+
+/// The counters of a run.
+#[derive(Debug)]
+pub(crate) struct Report {
+    begin: Instant,
+    /// Gaps between tokens above this are pauses.
+    pause: Duration,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    accounts: BTreeMap<String, Generations>,
+    failures: BTreeMap<String, u64>,
+    violations: Vec<String>,
+    notes: Vec<String>,
+    resumes: u64,
+    longest: Duration,
+    /// Pauses in which the caller stayed at its entry host.
+    inner: Histogram<u64>,
+    /// Pauses in which the caller went to another entry host.
+    moved: Histogram<u64>,
+    first: Histogram<u64>,
+    actions: BTreeMap<String, Action>,
+    lookups: u64,
+    lookup_retries: BTreeMap<String, u64>,
+    lookup_failures: BTreeMap<String, u64>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Generations {
+    started: u64,
+    whole: u64,
+    failed: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Action {
+    known: Known,
+    how: String,
+    route: Vec<String>,
+}
+
+impl Report {
+    /// Creates a report; gaps between tokens above `pause` count as pauses.
+    pub(crate) fn new(pause: Duration) -> Self {
+        let histogram = || Histogram::new_with_bounds(1, MAX_MS, 3).expect("valid bounds");
+        Self {
+            begin: Instant::now(),
+            pause,
+            state: Mutex::new(State {
+                accounts: BTreeMap::new(),
+                failures: BTreeMap::new(),
+                violations: Vec::new(),
+                notes: Vec::new(),
+                resumes: 0,
+                longest: Duration::ZERO,
+                inner: histogram(),
+                moved: histogram(),
+                first: histogram(),
+                actions: BTreeMap::new(),
+                lookups: 0,
+                lookup_retries: BTreeMap::new(),
+                lookup_failures: BTreeMap::new(),
+            }),
+        }
+    }
+
+    /// Returns the milliseconds since the start.
+    pub(crate) fn now_ms(&self) -> u128 {
+        self.begin.elapsed().as_millis()
+    }
+
+    /// Counts a generation.
+    pub(crate) fn started(&self, account: &str) {
+        self.state().account(account).started += 1;
+    }
+
+    /// Counts a whole answer.
+    pub(crate) fn whole(&self, account: &str) {
+        self.state().account(account).whole += 1;
+    }
+
+    /// Counts a generation that ended with an error.
+    pub(crate) fn failed(&self, account: &str, reason: &str) {
+        let mut state = self.state();
+        state.account(account).failed += 1;
+        *state.failures.entry(reason.to_owned()).or_default() += 1;
+    }
+
+    /// Notes something that must not happen.
+    pub(crate) fn violation(&self, what: &str) {
+        let at = self.now_ms();
+        self.state().violations.push(format!("{at} ms: {what}"));
+    }
+
+    /// Notes something that explains a number of the table.
+    pub(crate) fn note(&self, what: &str) {
+        let mut state = self.state();
+        if state.notes.len() < MAX_NOTES {
+            state.notes.push(what.to_owned());
+        }
+    }
+
+    /// Counts a response that continued an answer.
+    pub(crate) fn resumed(&self) {
+        self.state().resumes += 1;
+    }
+
+    /// Records the time since the last token or since the request; `moved` when the caller changed the entry host.
+    pub(crate) fn gap(&self, gap: Duration, between_tokens: bool, moved: bool) {
+        let ms = u64::try_from(gap.as_millis()).unwrap_or(u64::MAX);
+        let mut state = self.state();
+        if !between_tokens {
+            state.first.saturating_record(ms);
+            return;
+        }
+        state.longest = state.longest.max(gap);
+        if moved {
+            state.moved.saturating_record(ms);
+        } else if gap > self.pause {
+            state.inner.saturating_record(ms);
+        }
+    }
+
+    /// Records the outcome of an action.
+    pub(crate) fn action(&self, key: &str, known: Known, how: &str, route: &[String]) {
+        let action = Action {
+            known,
+            how: how.to_owned(),
+            route: route.to_vec(),
+        };
+        self.state().actions.insert(key.to_owned(), action);
+    }
+
+    /// Counts an answered lookup.
+    pub(crate) fn looked_up(&self) {
+        self.state().lookups += 1;
+    }
+
+    /// Counts an attempt of a lookup that failed.
+    pub(crate) fn lookup_retried(&self, reason: &str) {
+        *self.state().lookup_retries.entry(reason.to_owned()).or_default() += 1;
+    }
+
+    /// Counts a lookup without an answer.
+    pub(crate) fn lookup_failed(&self, reason: &str) {
+        *self.state().lookup_failures.entry(reason.to_owned()).or_default() += 1;
+    }
+
+    /// Compares what callers know about actions with what ran; `runs` has an item for each key and claim.
+    pub(crate) fn check_actions(&self, runs: &[(String, u64)]) {
+        let mut total = BTreeMap::<&str, u64>::new();
+        for (key, count) in runs {
+            *total.entry(key).or_default() += count;
+        }
+        let mut state = self.state();
+        let mut found = Vec::new();
+        for (key, count) in &total {
+            if *count > 1 {
+                found.push(format!("action {key} ran {count} times"));
+            }
+        }
+        for (key, action) in &state.actions {
+            let count = total.get(key.as_str()).copied().unwrap_or_default();
+            let is_wrong = match action.known {
+                Known::Done => count == 0,
+                Known::NotRun => count > 0,
+                Known::Unknown => false,
+            };
+            if is_wrong {
+                let (how, route) = (&action.how, action.route.join("; "));
+                found.push(format!(
+                    "action {key} was answered `{how}` and ran {count} times; {route}"
+                ));
+            }
+        }
+        state.violations.append(&mut found);
+    }
+
+    /// Returns the violations so far.
+    pub(crate) fn violations(&self) -> Vec<String> {
+        self.state().violations.clone()
+    }
+
+    /// Returns the notes so far.
+    pub(crate) fn notes(&self) -> Vec<String> {
+        self.state().notes.clone()
+    }
+
+    /// Adds the rows of the callers.
+    pub(crate) fn fill(&self, table: &mut Table) {
+        let state = self.state();
+        let mut row = |measure: &str, value: String| table.push([measure.to_owned(), value]);
+        let sum = |count: fn(&Generations) -> u64| state.accounts.values().map(count).sum::<u64>().to_string();
+        row("generations started", sum(|account| account.started));
+        row("generations whole", sum(|account| account.whole));
+        row("generations failed with an error", sum(|account| account.failed));
+        for (reason, count) in &state.failures {
+            row(&format!("  {reason}"), count.to_string());
+        }
+        row("violations", state.violations.len().to_string());
+        for (name, account) in &state.accounts {
+            let value = format!("{} / {} / {}", account.started, account.whole, account.failed);
+            row(&format!("account {name}: started / whole / failed"), value);
+        }
+        row("resumes seen by callers", state.resumes.to_string());
+        row("first token p50 / p95 / p99 / max (ms)", quantiles(&state.first));
+        for (name, pauses) in [
+            ("at one entry host", &state.inner),
+            ("with a move to another", &state.moved),
+        ] {
+            row(&format!("pauses {name}"), pauses.len().to_string());
+            row(&format!("pauses {name} p50 / p95 / p99 / max (ms)"), quantiles(pauses));
+        }
+        row("longest pause in a stream (ms)", state.longest.as_millis().to_string());
+        let outcomes = |known: Known| state.actions.values().filter(move |action| action.known == known);
+        for (name, known) in [
+            ("done", Known::Done),
+            ("not run", Known::NotRun),
+            ("unknown", Known::Unknown),
+        ] {
+            row(&format!("actions {name}"), outcomes(known).count().to_string());
+            let mut reasons = BTreeMap::<&str, u64>::new();
+            for action in outcomes(known) {
+                *reasons.entry(&action.how).or_default() += 1;
+            }
+            for (reason, count) in reasons {
+                row(&format!("  {reason}"), count.to_string());
+            }
+        }
+        row("lookups answered", state.lookups.to_string());
+        for (reason, count) in &state.lookup_retries {
+            row(&format!("  attempts ended by {reason}"), count.to_string());
+        }
+        row(
+            "lookups failed",
+            state.lookup_failures.values().sum::<u64>().to_string(),
+        );
+        for (reason, count) in &state.lookup_failures {
+            row(&format!("  {reason}"), count.to_string());
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn account(&mut self, name: &str) -> &mut Generations {
+        self.accounts.entry(name.to_owned()).or_default()
+    }
+}
+
+fn quantiles(histogram: &Histogram<u64>) -> String {
+    let values = [0.5, 0.95, 0.99, 1.0].map(|quantile| histogram.value_at_quantile(quantile).to_string());
+    values.join(" / ")
+}
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -1,7 +1,9 @@
 //! Experiments and their results.
 
+use std::collections::BTreeMap;
 use std::io;
 use std::path::Path;
+use std::str::FromStr;
 
 use linkme::distributed_slice;
 
@@ -27,6 +29,24 @@
     pub seed: u64,
     /// The number of seeds.
     pub seeds: u64,
+    /// Settings that only one experiment knows, by name.
+    pub set: BTreeMap<String, String>,
+}
+
+impl Options {
+    /// Returns a setting of the experiment, or the default when it is not given.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the name and the value when the value is malformed.
+    pub fn get<T: FromStr>(&self, name: &str, default: T) -> Result<T, String> {
+        let Some(value) = self.set.get(name) else {
+            return Ok(default);
+        };
+        value
+            .parse()
+            .map_err(|_malformed| format!("`{name}={value}` is malformed; see docs/deployments.md"))
+    }
 }
 
 /// A table of results; every cell is text with its unit in the column's title.
@@ -36,6 +56,8 @@
     pub columns: Vec<String>,
     /// The rows.
     pub rows: Vec<Vec<String>>,
+    /// What went against a property that the experiment checks; the program fails when there is something.
+    pub violations: Vec<String>,
 }
 
 impl Table {
@@ -44,6 +66,7 @@
         Self {
             columns: columns.into_iter().map(Into::into).collect(),
             rows: Vec::new(),
+            violations: Vec::new(),
         }
     }
 
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,16 @@
 //! Every experiment is a module that registers itself in [`EXPERIMENTS`], prints a table and can write it as CSV.
 
 mod backlog;
+mod deployment;
+mod deployment_action;
+mod deployment_client;
+mod deployment_entry;
+mod deployment_faults;
+mod deployment_files;
+mod deployment_fleet;
+mod deployment_generation;
+mod deployment_plan;
+mod deployment_report;
 pub mod experiment;
 mod membership;
 mod overload;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,4 +1,5 @@
-//! `lab EXPERIMENT [--seed N] [--seeds N] [--csv FILE]` runs one experiment; without a name it lists them.
+//! `lab EXPERIMENT [--seed N] [--seeds N] [--set NAME=VALUE]... [--csv FILE]` runs one experiment; without a name it
+//! lists them.
 
 use std::io;
 use std::path::PathBuf;
@@ -20,6 +21,8 @@
     seeds: u64,
     #[options(help = "write the table to this file as CSV", meta = "FILE")]
     csv: Option<PathBuf>,
+    #[options(help = "a setting of the experiment; may be repeated", meta = "NAME=VALUE", no_short)]
+    set: Vec<String>,
 }
 
 fn main() -> ExitCode {
@@ -35,7 +38,13 @@
         };
     };
     match run(experiment, &arguments) {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(violations) if violations.is_empty() => ExitCode::SUCCESS,
+        Ok(violations) => {
+            for violation in violations {
+                eprintln!("violation: {violation}");
+            }
+            ExitCode::FAILURE
+        }
         Err(error) => {
             eprintln!("cannot write the results: {error}; check the path given with --csv");
             ExitCode::FAILURE
@@ -51,15 +60,20 @@
     }
 }
 
-fn run(experiment: &Experiment, arguments: &Arguments) -> Result<(), csv::Error> {
+fn run(experiment: &Experiment, arguments: &Arguments) -> Result<Vec<String>, csv::Error> {
+    let pairs = arguments
+        .set
+        .iter()
+        .map(|pair| pair.split_once('=').unwrap_or((pair, "")));
     let options = Options {
         seed: arguments.seed,
         seeds: arguments.seeds,
+        set: pairs.map(|(name, value)| (name.to_owned(), value.to_owned())).collect(),
     };
     let table = (experiment.run)(&options);
     table.print(io::stdout().lock())?;
     if let Some(path) = &arguments.csv {
         table.write_csv(path)?;
     }
-    Ok(())
+    Ok(table.violations)
 }
