--- a/crates/lab/src/deployment.rs
+++ b/crates/lab/src/deployment.rs
@@ -68,7 +68,7 @@
 async fn measure(plan: &Plan, table: &mut Table) -> Result<(), String> {
     let files = Files::read(&plan.deployment, &plan.directory)?;
     let report = Arc::new(Report::new((plan.gap * PAUSE_GAPS).max(MIN_PAUSE)));
-    let fleet = Arc::new(Fleet::start(plan, &files).await?);
+    let fleet = Arc::new(Fleet::start(plan, &files, report.begin()).await?);
     let begin = Instant::now();
     let sampler = tokio::spawn(sample(Arc::clone(&fleet), Arc::clone(&report)));
     let mut callers = start_callers(plan, &files, &report)?;
--- a/crates/lab/src/deployment_fleet.rs
+++ b/crates/lab/src/deployment_fleet.rs
@@ -45,12 +45,12 @@
 }
 
 impl Fleet {
-    /// Starts everything and waits until all entry hosts are ready.
+    /// Starts everything and waits until all entry hosts are ready; the times of faults count from `begin`.
     ///
     /// # Errors
     ///
     /// Fails when a part cannot be started or an entry host does not become ready.
-    pub(crate) async fn start(plan: &Plan, files: &Files) -> Result<Self, String> {
+    pub(crate) async fn start(plan: &Plan, files: &Files, begin: Instant) -> Result<Self, String> {
         let failed = |error: io::Error| format!("a part cannot be started: {error}");
         let directory = tempfile::tempdir().map_err(failed)?;
         let mut fleet = Self {
@@ -58,7 +58,7 @@
             engines: Vec::new(),
             services: Vec::new(),
             entries: Mutex::default(),
-            begin: Instant::now(),
+            begin,
             trace: Mutex::default(),
             directory,
         };
@@ -110,14 +110,9 @@
         ))
     }
 
-    /// Returns the milliseconds since the start.
-    pub(crate) fn now_ms(&self) -> u128 {
-        self.begin.elapsed().as_millis()
-    }
-
     /// Notes a fault, so that a violation can be traced.
     pub(crate) fn note(&self, what: &str) {
-        let line = format!("{:>7} ms  {what}", self.now_ms());
+        let line = format!("{:>7} ms  {what}", self.begin.elapsed().as_millis());
         self.trace().push(line);
     }
 
--- a/crates/lab/src/deployment_report.rs
+++ b/crates/lab/src/deployment_report.rs
@@ -91,6 +91,11 @@
         }
     }
 
+    /// Returns the start of the run.
+    pub(crate) fn begin(&self) -> Instant {
+        self.begin
+    }
+
     /// Returns the milliseconds since the start.
     pub(crate) fn now_ms(&self) -> u128 {
         self.begin.elapsed().as_millis()
