Give the tests of actions a configuration that passes the checks

A model rule whose version has no target is refused by the whole-configuration checks, so that the daemons of these tests never became ready.

--- a/crates/daemon/tests/actions.rs
+++ b/crates/daemon/tests/actions.rs
@@ -45,7 +45,7 @@
 impl Deployment {
     async fn start(entries: u8) -> Self {
         let network = Network::new();
-        let platform = support::platform(network, &support::document(network, 1, 0));
+        let platform = support::platform(network, &support::document(network, 1, 1));
         let daemons = (0..entries).map(|index| Daemon::start(network, index, entries, ""));
         let daemons = daemons.collect::<Vec<_>>();
         for daemon in &daemons {
