--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -82,20 +82,7 @@
 END
 "$bin/hawthornpost" validate --inventory "$work/assets.csv" --rules "$work/rules.ini"
 
-hash=$("$bin/hawthornpost" hash-key <<<"$account_key")
-cat >"$work/objects" <<END
-[{"plural": "configheads", "metadata": {"name": "current"}, "spec": {"document": {
-  "version": 1,
-  "inventory": $("$bin/hawthornpost" --json import "$work/assets.csv"),
-  "rules": {
-    "accounts": {"crews": {"key_hash": "$hash", "priority": 5, "share": 10}},
-    "models": {"reports": {"version": "v1", "max_tokens": 4096}},
-    "services": {"booking": {"timeout_ms": 10000}},
-    "rollouts": {}
-  }
-}}}]
-END
-start platform "$bin/standin-platform" --listen $net.1:7001 --objects "$work/objects"
+start platform "$bin/standin-platform" --listen $net.1:7001
 for n in 1 2; do
   start "engine-$n" "$bin/standin-engine" --listen "$net.2$n:8001" --model reports --version v1 \
     --gap 20 --min-answer 200 --max-answer 200 --seed "$n"
@@ -128,6 +115,10 @@
 call() { HAWTHORNPOST_KEY=$account_key "$bin/hawthornpost" "$@"; }
 wait_until "the entry hosts" operate dump
 
+echo "== put the configuration in force"
+operate apply --inventory "$work/assets.csv" --rules "$work/rules.ini"
+operate status
+
 echo "== stream a generation and kill its engine in the middle"
 call send --model reports --prompt "$prompt" >"$work/answer" &
 reader=$!
