Run generations in the daemon with replicas, resume and bounds

The thin path's loop lost an answer when its engine died silently or its entry died. The machines of the core now run in the daemon: connections of attempts, appends to a peer (one call in flight per peer, the next one batches), the calls replica_append, replica_take and replica_drop, POST /v1/completions/resume and DELETE /v1/completions/{request}.

Bytes for slow readers: the kernel buffered up to 4 MB a connection that no bound counted, so that two readers at one token a second held nothing in the backlog and 570 KB each in the kernel. Connections of callers now have a send buffer of 16 KB, and the next piece of at most 1 KB is made only after the connection has written the one before; its bytes are reserved with the connection. A full reservation refuses the connection with 503, because waiting for room deadlocked when only stalled streams held it. write_timeout_ms is 120 s by default: a third of the send buffer has to drain for progress, which takes half a minute at one token a second.

--- a/crates/daemon/src/completions.rs
+++ b/crates/daemon/src/completions.rs
@@ -2,29 +2,35 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
-use hawthornpost_core::id::{Account, Attempt, Model, Request, Target};
-use hawthornpost_core::wire::{Completion, Finish, Frame, Generate, REQUEST_HEADER};
+use hawthornpost_core::generation;
+use hawthornpost_core::id::{Model, Request};
+use hawthornpost_core::wire::{Completion, REQUEST_HEADER, RESUME_HEADER};
 use http_body_util::Either;
 use http_body_util::channel::{Channel, Sender};
 use hyper::header::{CONTENT_TYPE, HeaderValue};
-use hyper::{Method, Response};
+use hyper::{Method, Response, StatusCode};
 use linkme::distributed_slice;
 use serde_json::json;
 
 use crate::access::Access;
+use crate::completions_reader::{Format, Piece, Reader};
 use crate::configuration::{Configuration, Current};
-use crate::engine::{self, Stream};
 use crate::error::{Error, Result};
 use crate::event::Event;
+use crate::generations::Generations;
+use crate::generations_running::Running;
 use crate::http::{self, Body, Call, ROUTES, Route};
-use crate::kernel::{Context, Phase};
-use crate::rollouts::{Observation, Origin, Rollouts};
-use crate::routing::{Choice, Query, Routing};
+use crate::kernel::{Context, Phase, Work};
+use crate::rollouts::Rollouts;
 
-/// The number of events that wait for a slow caller before the engine's stream is no longer read.
-const QUEUE_EVENTS: usize = 64;
+/// Pieces that wait for a caller. The next piece is only made after the connection has written the one before.
+const QUEUE_PIECES: usize = 1;
+/// Header with the index of the last token that a caller received.
+const LAST_EVENT_HEADER: &str = "last-event-id";
 
 #[distributed_slice(ROUTES)]
 static COMPLETIONS: Route = Route {
@@ -34,6 +40,22 @@
     handle: |context, call| Box::pin(complete(context, call)),
 };
 
+#[distributed_slice(ROUTES)]
+static RESUME: Route = Route {
+    method: || Method::POST,
+    path: "/v1/completions/resume",
+    access: Access::Account,
+    handle: |context, call| Box::pin(resume(context, call)),
+};
+
+#[distributed_slice(ROUTES)]
+static CANCEL: Route = Route {
+    method: || Method::DELETE,
+    path: "/v1/completions/{request}",
+    access: Access::Account,
+    handle: |context, call| Box::pin(async move { cancel(&context, &call) }),
+};
+
 #[distributed_slice(ROUTES)]
 static MODELS: Route = Route {
     method: || Method::GET,
@@ -42,61 +64,108 @@
     handle: |context, _| Box::pin(async move { Ok(models(&context)) }),
 };
 
-/// The generation of one request.
-struct Generation {
-    context: Rc<Context>,
-    account: Account,
-    generate: Generate,
-    next: u32,
-}
-
 async fn complete(context: Rc<Context>, call: Call) -> Result<Response<Body>> {
-    if context.phase() >= Phase::Draining {
-        let lifetime = context.settings().limits.address_lifetime;
-        return Err(Error::unavailable(
-            "this entry host is leaving; ask another one",
-            lifetime,
-        ));
+    refuse_when_draining(&context)?;
+    if call.header(RESUME_HEADER).is_some() {
+        return resume(context, call).await;
     }
     context.part::<Configuration>().check_fresh()?;
     let account = call.account()?.clone();
     let completion = call.json::<Completion>(&context).await?;
-    let generate = prepare(&context, &completion)?;
-    let request = generate.request_id;
-    let generation = Generation {
-        context,
-        account,
-        generate,
-        next: 0,
-    };
-    let mut response = if completion.stream {
-        stream(generation)
+    let streamed = completion.stream;
+    let request = prepare(&context, account, completion)?;
+    let generations = context.part::<Generations>();
+    let running = generations.start(request);
+    let reader = Reader::new(&generations, &running, 0)?;
+    let work = context.begin_work();
+    let response = if streamed {
+        stream(&context, reader, work)
     } else {
-        whole(generation).await?
+        whole(reader, work).await?
     };
-    if let Ok(id) = HeaderValue::from_str(&request.to_string()) {
-        response.headers_mut().insert(REQUEST_HEADER, id);
-    }
+    Ok(with_headers(response, &generations, &running))
+}
+
+async fn resume(context: Rc<Context>, call: Call) -> Result<Response<Body>> {
+    refuse_when_draining(&context)?;
+    let account = call.account()?;
+    let handle = call
+        .header(RESUME_HEADER)
+        .ok_or_else(|| Error::bad_request(format!("the header {RESUME_HEADER} is missing"), "send the handle"))?;
+    let next = next_index(call.header(LAST_EVENT_HEADER))?;
+    let generations = context.part::<Generations>();
+    let running = generations.resume(account, handle, next).await?;
+    let reader = Reader::new(&generations, &running, next)?;
+    let response = stream(&context, reader, context.begin_work());
+    Ok(with_headers(response, &generations, &running))
+}
+
+fn cancel(context: &Rc<Context>, call: &Call) -> Result<Response<Body>> {
+    let request = call.parameter("request").parse::<Request>()?;
+    let generations = context.part::<Generations>();
+    let running = generations.find(&request, call.account()?);
+    let running = running.ok_or_else(|| {
+        Error::not_found(
+            format!("running request {request} at this entry"),
+            "send the cancellation to the entry that streams the answer",
+        )
+    })?;
+    generations.feed(&running, generation::Event::Cancel);
+    let mut response = Response::new(http::full(""));
+    *response.status_mut() = StatusCode::NO_CONTENT;
     Ok(response)
 }
 
-fn prepare(context: &Context, completion: &Completion) -> Result<Generate> {
+fn refuse_when_draining(context: &Context) -> Result<()> {
+    if context.phase() < Phase::Draining {
+        return Ok(());
+    }
+    let lifetime = context.settings().limits.address_lifetime;
+    Err(Error::unavailable(
+        "this entry host is leaving; ask another one",
+        lifetime,
+    ))
+}
+
+fn next_index(last: Option<&str>) -> Result<u32> {
+    let Some(last) = last else {
+        return Ok(0);
+    };
+    let index = last.parse::<u32>();
+    let next = index.ok().and_then(|index| index.checked_add(1));
+    next.ok_or_else(|| {
+        Error::bad_request(
+            format!("`{last}` is not the index of a token"),
+            "send the id of the last event, or leave the header out",
+        )
+    })
+}
+
+fn prepare(
+    context: &Context,
+    account: hawthornpost_core::id::Account,
+    completion: Completion,
+) -> Result<generation::Request> {
     let document = context.part::<Current>().document();
     let rule = document.rules.models.get(&completion.model);
     let rule = rule.ok_or_else(|| unknown_model(&completion.model))?;
-    let request_id = Request::from_random(rand::random());
-    let version = context.part::<Rollouts>().version(&completion.model, request_id);
-    Ok(Generate {
-        model: completion.model.clone(),
-        version: version.ok_or_else(|| unknown_model(&completion.model))?,
-        prompt: completion.prompt.clone(),
-        max_tokens: completion.max_tokens.unwrap_or(rule.max_tokens).min(rule.max_tokens),
-        stream: true,
-        request_id,
-        attempt: Attempt::first(0),
-        priority: completion.priority.unwrap_or(5),
-        temperature: completion.temperature,
-        resume_tokens: Vec::new(),
+    let id = Request::from_random(rand::random());
+    let version = context.part::<Rollouts>().version(&completion.model, id);
+    let version = version.ok_or_else(|| unknown_model(&completion.model))?;
+    let max_tokens = completion.max_tokens.unwrap_or(rule.max_tokens).min(rule.max_tokens);
+    let highest = document.rules.accounts.get(&account).map_or(0, |rule| rule.priority);
+    let completion = Completion {
+        max_tokens: Some(max_tokens),
+        priority: Some(completion.priority.unwrap_or(highest).min(highest)),
+        ..completion
+    };
+    Ok(generation::Request {
+        id,
+        account,
+        completion: Arc::new(completion),
+        version,
+        max_tokens,
+        remaining: Duration::ZERO,
     })
 }
 
@@ -104,18 +173,23 @@
     Error::not_found(format!("model {model}"), "choose one that GET /v1/models lists")
 }
 
-fn stream(mut generation: Generation) -> Response<Body> {
-    let (sender, body) = Channel::<Bytes, Infallible>::new(QUEUE_EVENTS);
-    let work = generation.context.begin_work();
+fn with_headers(mut response: Response<Body>, generations: &Generations, running: &Running) -> Response<Body> {
+    let handle = generations.handle(running).unwrap_or_default();
+    let values = [(REQUEST_HEADER, running.request.to_string()), (RESUME_HEADER, handle)];
+    for (name, value) in values {
+        if let Ok(value) = HeaderValue::from_str(&value) {
+            response.headers_mut().insert(name, value);
+        }
+    }
+    response
+}
+
+fn stream(context: &Rc<Context>, mut reader: Reader, work: Work) -> Response<Body> {
+    let (mut sender, body) = Channel::<Bytes, Infallible>::new(QUEUE_PIECES);
+    let context = Rc::clone(context);
     tokio::task::spawn_local(async move {
-        let mut output = Output::Stream(sender);
-        if let Err(error) = generation.run(&mut output).await {
-            Event::GenerationFailed {
-                request: &generation.generate.request_id,
-                error: &error,
-            }
-            .log();
-            output.fail(&error).await;
+        if let Err(error) = pass_on(&context, &mut reader, &mut sender).await {
+            log::debug!("request {}: {error}", reader.request());
         }
         drop(work);
     });
@@ -125,164 +199,64 @@
     response
 }
 
-async fn whole(mut generation: Generation) -> Result<Response<Body>> {
-    let mut output = Output::Whole(String::new());
-    let finish = generation.run(&mut output).await?;
-    let Output::Whole(text) = output else {
-        return Err(Error::failed("the answer was streamed", "report this as a fault"));
-    };
-    Ok(http::json(&json!({
-        "id": generation.generate.request_id,
-        "object": "text_completion",
-        "model": generation.generate.model,
-        "choices": [{ "index": 0, "text": text, "finish_reason": finish }],
-    })))
-}
-
-impl Generation {
-    /// Runs attempts until the answer is whole.
-    async fn run(&mut self, output: &mut Output) -> Result<Finish> {
-        let routing = self.context.part::<Routing>();
-        let mut tried = Vec::new();
-        loop {
-            let choice = routing.engine(&self.query(&tried))?;
-            tried.push(choice.target.clone());
-            match self.attempt(&choice, output).await {
-                Ok(finish) => {
-                    self.observe(&choice.target, Observation::Finished);
-                    return Ok(finish);
-                }
-                Err(error) => {
-                    let is_refusal = matches!(error.kind(), crate::error::Kind::Status { .. });
-                    let observation = if is_refusal {
-                        Observation::Failed
-                    } else {
-                        Observation::Lost
-                    };
-                    self.observe(&choice.target, observation);
-                    Event::AttemptFailed {
-                        request: &self.generate.request_id,
-                        target: &choice.target,
-                        error: &error,
-                    }
-                    .log();
-                }
-            }
-            self.generate.attempt = self.generate.attempt.next();
-        }
-    }
-
-    fn query<'a>(&'a self, tried: &'a [Target]) -> Query<'a> {
-        Query {
-            account: &self.account,
-            model: &self.generate.model,
-            version: &self.generate.version,
-            prompt: &self.generate.prompt,
-            resumed_tokens: self.next,
-            max_tokens: self.generate.max_tokens,
-            priority: self.generate.priority,
-            tried,
-        }
-    }
-
-    fn observe(&self, target: &Target, observation: Observation) {
-        let origin = Origin {
-            account: &self.account,
-            model: &self.generate.model,
-            version: &self.generate.version,
-            target,
-        };
-        self.context.part::<Rollouts>().observe(origin, observation);
-    }
-
-    async fn attempt(&mut self, choice: &Choice, output: &mut Output) -> Result<Finish> {
-        let mut last = self.context.timer().now();
-        let mut stream = Stream::start(choice.address, &self.generate).await?;
-        while let Some(engine::Event::Frame(frame)) = stream.next().await? {
-            let now = self.context.timer().now();
-            let observation = match frame.first {
-                0 => Observation::FirstToken(now - last),
-                _ => Observation::Gap(now - last),
-            };
-            self.observe(&choice.target, observation);
-            last = now;
-            if let Some(finish) = self.accept(frame, output).await? {
-                return Ok(finish);
-            }
+/// Sends pieces to a caller until the answer ends or the caller is gone.
+async fn pass_on(context: &Context, reader: &mut Reader, sender: &mut Sender<Bytes, Infallible>) -> Result<()> {
+    let limit = context.settings().limits.write_timeout;
+    let format = Format::new(reader);
+    loop {
+        let mut piece = reader.next().await;
+        if piece == Piece::Replaced {
+            return Ok(());
         }
-        Err(Error::failed(
-            "the engine's stream ended early",
-            "another engine is tried",
-        ))
-    }
-
-    async fn accept(&mut self, frame: Frame, output: &mut Output) -> Result<Option<Finish>> {
-        if frame.id != self.generate.request_id || frame.attempt != self.generate.attempt || frame.first != self.next {
-            return Ok(None);
+        let text = format.events(reader, &mut piece);
+        let write = reader.write(text, sender);
+        if context.timer().limit(limit, write).await != Some(true) {
+            return Err(Error::failed(
+                "the caller is gone or does not read",
+                "it can resume with its handle",
+            ));
         }
-        let finish = frame.finish;
-        for token in frame.tokens {
-            output.token(&self.generate, self.next, &token.text).await?;
-            self.generate.resume_tokens.push(token.id);
-            self.next += 1;
+        if let Piece::Failed(error) = &piece {
+            log_failure(reader, error);
         }
-        if finish.is_some() {
-            output.finish(&self.generate, finish).await?;
+        if !reader.took(&piece) {
+            return Ok(());
         }
-        Ok(finish)
     }
 }
 
-/// Where the tokens of an answer go.
-enum Output {
-    Stream(Sender<Bytes, Infallible>),
-    Whole(String),
-}
-
-impl Output {
-    async fn token(&mut self, generate: &Generate, index: u32, text: &str) -> Result<()> {
-        match self {
-            Self::Whole(whole) => {
-                whole.push_str(text);
-                Ok(())
+async fn whole(mut reader: Reader, _work: Work) -> Result<Response<Body>> {
+    loop {
+        let piece = reader.next().await;
+        match &piece {
+            Piece::Failed(error) => {
+                log_failure(&reader, error);
+                return Err(reader.failure());
             }
-            Self::Stream(sender) => send(sender, format!("id: {index}\n{}", chunk(generate, text, None))).await,
+            Piece::HandOver | Piece::Replaced => return Err(reader.failure()),
+            Piece::Tokens(_) | Piece::End(_) => {}
         }
-    }
-
-    async fn finish(&mut self, generate: &Generate, finish: Option<Finish>) -> Result<()> {
-        match self {
-            Self::Whole(_) => Ok(()),
-            Self::Stream(sender) => send(sender, format!("{}data: [DONE]\n\n", chunk(generate, "", finish))).await,
-        }
-    }
-
-    async fn fail(&mut self, error: &Error) {
-        if let Self::Stream(sender) = self {
-            let problem = json!({ "error": { "message": error.to_string(), "type": "server_error" } });
-            if send(sender, format!("event: error\ndata: {problem}\n\n"))
-                .await
-                .is_err()
-            {
-                log::debug!("the caller is gone");
-            }
+        if let Piece::End(finish) = &piece {
+            let body = reader.whole_text();
+            let response = http::json(&json!({
+                "id": reader.request(),
+                "object": "text_completion",
+                "model": reader.model(),
+                "choices": [{ "index": 0, "text": body, "finish_reason": finish }],
+            }));
+            reader.took(&piece);
+            return Ok(response);
         }
+        reader.took(&piece);
     }
 }
 
-fn chunk(generate: &Generate, text: &str, finish: Option<Finish>) -> String {
-    let chunk = json!({
-        "id": generate.request_id,
-        "object": "text_completion",
-        "model": generate.model,
-        "choices": [{ "index": 0, "text": text, "finish_reason": finish }],
-    });
-    format!("data: {chunk}\n\n")
-}
-
-async fn send(sender: &mut Sender<Bytes, Infallible>, event: String) -> Result<()> {
-    let sent = sender.send_data(Bytes::from(event)).await;
-    sent.map_err(|_closed| Error::failed("the caller closed the connection", "resume with the handle"))
+fn log_failure(reader: &Reader, error: &str) {
+    Event::GenerationFailed {
+        request: &reader.request(),
+        error: &error,
+    }
+    .log();
 }
 
 fn models(context: &Context) -> Response<Body> {
--- /dev/null
+++ b/crates/daemon/src/generations.rs
@@ -0,0 +1,293 @@
+//! Running generations: feeds the machines of the core and carries out their commands.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::fmt;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hawthornpost_core::backlog::{self, Ledger};
+use hawthornpost_core::clock::Instant;
+use hawthornpost_core::generation::{self, Event, Gaps, Machine, Outcome, Settings};
+use hawthornpost_core::handle::{Handle, Key};
+use hawthornpost_core::id::{Account, Branch, Request, Target};
+use hawthornpost_core::replica::{Grant, Refusal, Take};
+use linkme::distributed_slice;
+use serde_json::{Value, json};
+
+use crate::error::{Error, Result};
+use crate::generations_attempt::Connection;
+use crate::generations_replica::{self, Replicas};
+use crate::generations_running::Running;
+use crate::kernel::{Context, Phase};
+use crate::plugin::{PLUGINS, Plugin, Stage};
+
+/// The time after which a generation that is not complete is given up.
+const DEADLINE: Duration = Duration::from_secs(3600);
+/// The number of peers that a handle names and that are asked for a copy.
+const ASKED_PEERS: usize = 4;
+/// When a caller should come back after no copy could be reached.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// All generations that this entry host serves.
+pub struct Generations {
+    pub(crate) context: Rc<Context>,
+    pub(crate) ledger: Ledger,
+    pub(crate) replicas: Rc<Replicas>,
+    settings: Settings,
+    key: Key,
+    running: RefCell<HashMap<Request, Rc<Running>>>,
+    by_backlog: RefCell<HashMap<backlog::Key, Request>>,
+    gaps: RefCell<HashMap<Target, Gaps>>,
+    /// The pause of the process that the machines know of.
+    known_pause: Cell<Option<Instant>>,
+    ended: RefCell<HashMap<Outcome, u64>>,
+    without_replica: Cell<Duration>,
+}
+
+impl Generations {
+    /// Returns the time.
+    pub(crate) fn now(&self) -> Instant {
+        self.context.timer().now()
+    }
+
+    /// Returns how long a target may be silent.
+    pub(crate) fn silence(&self, target: &Target) -> Duration {
+        let gaps = self.gaps.borrow();
+        gaps.get(target).map_or_else(|| Gaps::new().silence(), Gaps::silence)
+    }
+
+    /// Records a gap between two frames of a target.
+    pub(crate) fn observe(&self, target: &Target, gap: Duration) {
+        let mut gaps = self.gaps.borrow_mut();
+        match gaps.get_mut(target) {
+            Some(gaps) => gaps.record(gap),
+            None => gaps.entry(target.clone()).or_default().record(gap),
+        }
+    }
+
+    /// Starts a generation.
+    pub(crate) fn start(self: &Rc<Self>, request: generation::Request) -> Rc<Running> {
+        let request = generation::Request {
+            remaining: DEADLINE,
+            ..request
+        };
+        let (id, account, now) = (request.id, request.account.clone(), self.now());
+        let backlog = self.ledger.open(account.clone(), now);
+        let machine = Machine::new(now, self.settings, request, backlog);
+        self.run(id, account, machine)
+    }
+
+    /// Connects a caller to its generation: here if it runs here, otherwise by taking it over from a copy.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the handle is not valid, when no copy can continue the answer, and with a time to retry when a peer
+    /// that may have a copy cannot be reached.
+    pub(crate) async fn resume(self: &Rc<Self>, account: &Account, handle: &str, next: u32) -> Result<Rc<Running>> {
+        let handle = self.key.check(handle, account)?;
+        if let Some(running) = self.find(&handle.request, account) {
+            let returned = running.return_caller(self.now(), handle.branch, next);
+            if returned.is_ok() {
+                self.feed(&running, Event::Tick);
+                return Ok(running);
+            }
+        }
+        let grant = self.take(&handle, next).await?;
+        let backlog = self.ledger.open(account.clone(), self.now());
+        let max_tokens = grant.origin.completion.max_tokens.unwrap_or(u32::MAX);
+        let (now, id) = (self.now(), handle.request);
+        let machine = Machine::take_over(now, self.settings, id, grant, max_tokens, next, backlog)?;
+        if let Some(replaced) = self.find(&handle.request, account) {
+            self.feed(&replaced, Event::Cancel);
+        }
+        Ok(self.run(id, account.clone(), machine))
+    }
+
+    /// Returns the generation of an account that runs here.
+    pub(crate) fn find(&self, request: &Request, account: &Account) -> Option<Rc<Running>> {
+        let running = self.running.borrow();
+        let found = running.get(request).filter(|running| running.account == *account);
+        found.map(Rc::clone)
+    }
+
+    /// Writes the handle with which a caller can resume a generation elsewhere.
+    pub(crate) fn handle(&self, running: &Running) -> Option<String> {
+        let branch = running.machine().branch()?;
+        let peers = self.replicas.ranked(&running.request);
+        let handle = Handle {
+            request: running.request,
+            account: running.account.clone(),
+            branch,
+            peers: peers.into_iter().take(ASKED_PEERS).map(|peer| peer.entry).collect(),
+        };
+        Some(self.key.sign(&handle))
+    }
+
+    /// Passes an event to a machine and carries out its commands.
+    pub(crate) fn feed(self: &Rc<Self>, running: &Rc<Running>, event: Event) {
+        self.check_pause();
+        running.feed(self, event);
+    }
+
+    /// Suspends the stream that has stalled longest when the process is close to its bound.
+    pub(crate) fn relieve(self: &Rc<Self>) {
+        let key = self.ledger.next_to_suspend();
+        let request = key.and_then(|key| self.by_backlog.borrow().get(&key).copied());
+        let running = request.and_then(|request| self.running.borrow().get(&request).map(Rc::clone));
+        if let Some(running) = running {
+            running.feed(self, Event::Suspend);
+        }
+    }
+
+    /// Forgets a generation that has ended.
+    pub(crate) fn remove(&self, running: &Running, outcome: Outcome) {
+        let machine = running.machine();
+        self.by_backlog.borrow_mut().remove(&machine.backlog().key());
+        *self.ended.borrow_mut().entry(outcome).or_default() += 1;
+        let without = self.without_replica.get() + machine.time_without_replica(self.now());
+        self.without_replica.set(without);
+        let mut all = self.running.borrow_mut();
+        let is_current = all
+            .get(&running.request)
+            .is_some_and(|current| std::ptr::eq(&raw const **current, running));
+        if is_current {
+            all.remove(&running.request);
+        }
+    }
+
+    fn run(self: &Rc<Self>, request: Request, account: Account, machine: Machine) -> Rc<Running> {
+        let key = machine.backlog().key();
+        let running = Rc::new(Running::new(request, account, machine));
+        self.by_backlog.borrow_mut().insert(key, request);
+        self.running.borrow_mut().insert(request, Rc::clone(&running));
+        tokio::task::spawn_local(Rc::clone(&running).keep_time(Rc::clone(self)));
+        self.feed(&running, Event::Begin);
+        running
+    }
+
+    async fn take(&self, handle: &Handle, next: u32) -> Result<Grant> {
+        let take = Take {
+            request: handle.request,
+            account: handle.account.clone(),
+            branch: handle.branch,
+            next,
+            new_branch: Branch::from_random(rand::random()),
+        };
+        let mut unreachable = None;
+        for holder in self.replicas.holders(handle, ASKED_PEERS) {
+            match self.replicas.take(holder.as_ref(), &take).await {
+                Ok(Ok(grant)) => return Ok(grant),
+                Ok(Err(refusal)) => log::debug!("request {}: a copy was refused: {refusal:?}", handle.request),
+                Err(error) => unreachable = Some(error),
+            }
+        }
+        Err(match unreachable {
+            Some(error) => Error::unavailable(format!("a peer with the answer does not reply: {error}"), RETRY_AFTER),
+            None => Error::conflict(
+                format!("no copy of request {} continues at token {next}", handle.request),
+                "start a new request; what was read so far cannot be continued",
+            ),
+        })
+    }
+
+    /// Tells all machines that the process was paused before any of them acts.
+    fn check_pause(self: &Rc<Self>) {
+        let pause = self.context.timer().last_pause();
+        if pause == self.known_pause.replace(pause) {
+            return;
+        }
+        for running in self.all() {
+            running.feed(self, Event::ClockJump);
+        }
+    }
+
+    pub(crate) fn all(&self) -> Vec<Rc<Running>> {
+        self.running.borrow().values().map(Rc::clone).collect()
+    }
+
+    fn dump(&self) -> Value {
+        let now = self.now();
+        let running = self.all();
+        let list = running.iter().map(|running| running.dump(now)).collect::<Vec<_>>();
+        let ended = self.ended.borrow();
+        let ended = ended
+            .iter()
+            .map(|(outcome, count)| (format!("{outcome:?}"), json!(count)));
+        let store = self.replicas.store();
+        json!({
+            "running": list,
+            "ended": ended.collect::<serde_json::Map<_, _>>(),
+            "backlog_bytes": self.ledger.held(),
+            "backlog_peak_bytes": self.ledger.peak(),
+            "replicas": store.len(),
+            "replica_bytes": store.bytes(),
+            "ended_without_replica_ms": u64::try_from(self.without_replica.get().as_millis()).unwrap_or(u64::MAX),
+        })
+    }
+}
+
+impl fmt::Debug for Generations {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Generations")
+            .field("running", &self.running.borrow().len())
+            .finish_non_exhaustive()
+    }
+}
+
+#[distributed_slice(PLUGINS)]
+static GENERATIONS: Plugin = Plugin {
+    name: "generations",
+    stage: Stage::Work,
+    start,
+};
+
+#[expect(clippy::unnecessary_wraps, reason = "the signature of all plug-ins")]
+fn start(context: &Rc<Context>) -> Result<()> {
+    let limits = &context.settings().limits;
+    let bounds = backlog::Limits {
+        stream: limits.stream_bytes,
+        account: limits.process_bytes / 2,
+        process: limits.process_bytes,
+    };
+    let generations = Rc::new(Generations {
+        context: Rc::clone(context),
+        ledger: Ledger::new(bounds),
+        replicas: generations_replica::start(context),
+        settings: Settings {
+            caller_grace: limits.caller_grace,
+            ..Settings::default()
+        },
+        key: Key::new(context.settings().peers.key.expose().as_bytes()),
+        running: RefCell::default(),
+        by_backlog: RefCell::default(),
+        gaps: RefCell::default(),
+        known_pause: Cell::new(None),
+        ended: RefCell::default(),
+        without_replica: Cell::default(),
+    });
+    context.provide(Rc::clone(&generations));
+    let dumped = Rc::clone(&generations);
+    context.on_dump("generations", move || dumped.dump());
+    tokio::task::spawn_local(leave(generations));
+    Ok(())
+}
+
+/// Hands long streams over once the drain limit has passed.
+async fn leave(generations: Rc<Generations>) {
+    let mut phase = generations.context.watch_phase();
+    if phase.wait_for(|phase| *phase >= Phase::Draining).await.is_err() {
+        return;
+    }
+    let limit = generations.context.settings().limits.drain_limit;
+    generations.context.timer().sleep(limit).await;
+    for running in generations.all() {
+        generations.feed(&running, Event::Leave);
+    }
+}
+
+/// The result of a take over the wire.
+pub(crate) type Taken = std::result::Result<Grant, Refusal>;
+
+/// The connection of the current attempt, for [`Running`].
+pub(crate) type Slot = RefCell<Option<Connection>>;
--- /dev/null
+++ b/crates/daemon/src/generations_attempt.rs
@@ -0,0 +1,142 @@
+//! The connection of one attempt to its engine.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use hawthornpost_core::generation::Event;
+use hawthornpost_core::id::{Attempt, Request};
+use hawthornpost_core::wire::Generate;
+use tokio::sync::Notify;
+use tokio::task::AbortHandle;
+
+use crate::engine::{self, Stream};
+use crate::error::{Error, Kind, Result};
+use crate::generations::Generations;
+use crate::generations_running::Running;
+use crate::rollouts::Observation;
+
+/// How a connection begins.
+pub(crate) enum Start {
+    /// With a new attempt.
+    Open(Box<Generate>),
+    /// By attaching to the running one.
+    Attach { request: Request, from: u32 },
+}
+
+/// The task that reads an engine's stream; dropping it closes the connection.
+pub(crate) struct Connection {
+    attempt: Attempt,
+    task: AbortHandle,
+    gate: Rc<Gate>,
+}
+
+/// Stops the reading of a stream while its caller is slow, so that the engine is slowed down.
+#[derive(Default)]
+struct Gate {
+    paused: Cell<bool>,
+    opened: Notify,
+}
+
+struct Reader {
+    generations: Rc<Generations>,
+    running: Rc<Running>,
+    attempt: Attempt,
+    gate: Rc<Gate>,
+}
+
+impl Connection {
+    pub(crate) fn start(
+        generations: &Rc<Generations>,
+        running: &Rc<Running>,
+        attempt: Attempt,
+        address: SocketAddr,
+        start: Start,
+    ) -> Self {
+        let gate = Rc::<Gate>::default();
+        let reader = Reader {
+            generations: Rc::clone(generations),
+            running: Rc::clone(running),
+            attempt,
+            gate: Rc::clone(&gate),
+        };
+        let task = tokio::task::spawn_local(reader.run(address, start)).abort_handle();
+        Self { attempt, task, gate }
+    }
+
+    pub(crate) fn attempt(&self) -> Attempt {
+        self.attempt
+    }
+
+    pub(crate) fn set_paused(&self, paused: bool) {
+        self.gate.paused.set(paused);
+        self.gate.opened.notify_one();
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Reader {
+    async fn run(self, address: SocketAddr, start: Start) {
+        let attempt = self.attempt;
+        let ended = match self.open(address, start).await {
+            Ok(stream) => {
+                self.feed(Event::Accepted { attempt });
+                self.read(stream).await
+            }
+            Err(error) => Err(error),
+        };
+        let refused = ended.as_ref().is_err_and(is_refusal);
+        if let Err(error) = ended {
+            let observation = if refused {
+                Observation::Failed
+            } else {
+                Observation::Lost
+            };
+            self.running.note_closed(&self.generations, &error, observation);
+        }
+        self.feed(Event::Closed { attempt, refused });
+    }
+
+    async fn open(&self, address: SocketAddr, start: Start) -> Result<Stream> {
+        match start {
+            Start::Open(generate) => Stream::start(address, &generate).await,
+            Start::Attach { request, from } => Stream::attach(address, request, self.attempt, from).await,
+        }
+    }
+
+    async fn read(&self, mut stream: Stream) -> Result<()> {
+        loop {
+            while self.gate.paused.get() {
+                self.gate.opened.notified().await;
+            }
+            match stream.next().await? {
+                Some(engine::Event::Frame(frame)) => {
+                    self.running.note_frame(&self.generations);
+                    self.feed(Event::Frame(frame));
+                    self.generations.relieve();
+                }
+                Some(engine::Event::Done) => return Ok(()),
+                None => {
+                    return Err(Error::failed(
+                        "the engine's stream ended early",
+                        "the generation resumes by itself",
+                    ));
+                }
+            }
+        }
+    }
+
+    fn feed(&self, event: Event) {
+        self.generations.feed(&self.running, event);
+    }
+}
+
+/// Returns whether the engine answered, so that the generation does not run there.
+fn is_refusal(error: &Error) -> bool {
+    matches!(error.kind(), Kind::Status { .. })
+}
--- /dev/null
+++ b/crates/daemon/src/generations_replica.rs
@@ -0,0 +1,236 @@
+//! Copies of generations at peers, and the copies that this entry host holds for its peers.
+
+use std::cell::{Cell, Ref, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hawthornpost_core::generation::Event;
+use hawthornpost_core::handle::Handle;
+use hawthornpost_core::id::{Entry, Request};
+use hawthornpost_core::replica::{Append, Limits, Reply, Store, Take};
+use linkme::distributed_slice;
+use serde::{Deserialize, Serialize};
+
+use crate::error::{Error, Result};
+use crate::generations::{Generations, Taken};
+use crate::generations_running::Running;
+use crate::kernel::Context;
+use crate::members::{Member, Members};
+use crate::peer::{self, METHODS, Method};
+
+/// How often copies that were not refreshed are removed.
+const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
+/// The tokens of one call are bounded so that it fits into a message with its prompts.
+const MAX_BATCH: usize = 256;
+
+/// The copies that this entry host holds, and its calls to the peers that hold its own.
+pub(crate) struct Replicas {
+    context: Rc<Context>,
+    store: RefCell<Store>,
+    outboxes: RefCell<HashMap<Entry, Rc<Outbox>>>,
+}
+
+/// Appends for one peer. One call is in flight; the next one carries all that has come meanwhile.
+#[derive(Default)]
+struct Outbox {
+    waiting: RefCell<Vec<Waiting>>,
+    busy: Cell<bool>,
+}
+
+struct Waiting {
+    running: Rc<Running>,
+    ticket: u64,
+    append: Append,
+}
+
+/// The body of `replica_drop`.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct DropCopy {
+    request: Request,
+    epoch: u32,
+}
+
+impl Replicas {
+    pub(crate) fn store(&self) -> Ref<'_, Store> {
+        self.store.borrow()
+    }
+
+    /// Returns the peers for the copy of a request, the best first: other data centres before the own one, then by
+    /// rendezvous hash, so that all entry hosts agree on the order.
+    pub(crate) fn ranked(&self, request: &Request) -> Vec<Member> {
+        let own = &self.context.settings().entry.data_centre;
+        let mut members = self.context.part::<Members>().others();
+        members.retain(|member| !member.leaving);
+        members.sort_by_cached_key(|member| (member.data_centre == *own, rank(request, &member.entry)));
+        members
+    }
+
+    /// Returns where a copy may be: here (`None`), at the peers that the handle names, and at the best ranked ones.
+    pub(crate) fn holders(&self, handle: &Handle, count: usize) -> Vec<Option<Member>> {
+        let mut members = self.context.part::<Members>().others();
+        members.sort_by_cached_key(|member| {
+            let named = handle.peers.iter().position(|peer| *peer == member.entry);
+            (named.unwrap_or(usize::MAX), rank(&handle.request, &member.entry))
+        });
+        members.truncate(2 * count);
+        std::iter::once(None).chain(members.into_iter().map(Some)).collect()
+    }
+
+    /// Takes a copy over.
+    pub(crate) async fn take(&self, holder: Option<&Member>, take: &Take) -> Result<Taken> {
+        let Some(holder) = holder else {
+            let now = self.context.timer().now();
+            return Ok(self.store.borrow_mut().take(now, take));
+        };
+        let client = self.context.part::<peer::Client>();
+        client.call(holder.peers, "replica_take", take).await
+    }
+
+    pub(crate) fn append(
+        self: &Rc<Self>,
+        generations: &Rc<Generations>,
+        running: &Rc<Running>,
+        peer: Entry,
+        ticket: u64,
+        append: Append,
+    ) {
+        let mut outboxes = self.outboxes.borrow_mut();
+        let outbox = Rc::clone(outboxes.entry(peer.clone()).or_default());
+        outbox.waiting.borrow_mut().push(Waiting {
+            running: Rc::clone(running),
+            ticket,
+            append,
+        });
+        if !outbox.busy.replace(true) {
+            tokio::task::spawn_local(Rc::clone(self).send(Rc::clone(generations), peer, outbox));
+        }
+    }
+
+    pub(crate) fn drop_copy(self: &Rc<Self>, peer: Entry, request: Request, epoch: u32) {
+        let replicas = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            let body = DropCopy { request, epoch };
+            // A copy that cannot be dropped expires.
+            if let Err(error) = replicas.call::<()>(&peer, "replica_drop", &body).await {
+                log::debug!("the copy of request {request} at {peer} is not dropped: {error}");
+            }
+        });
+    }
+
+    async fn send(self: Rc<Self>, generations: Rc<Generations>, peer: Entry, outbox: Rc<Outbox>) {
+        loop {
+            let batch = outbox.take();
+            if batch.is_empty() {
+                break;
+            }
+            self.send_batch(&generations, &peer, batch).await;
+        }
+        outbox.busy.set(false);
+        self.outboxes.borrow_mut().remove(&peer);
+    }
+
+    async fn send_batch(&self, generations: &Rc<Generations>, peer: &Entry, batch: Vec<Waiting>) {
+        let appends = batch.iter().map(|waiting| &waiting.append).collect::<Vec<_>>();
+        let replies = self.call::<Vec<Reply>>(peer, "replica_append", &appends).await;
+        let replies = replies.unwrap_or_else(|error| {
+            log::debug!("peer {peer} does not acknowledge: {error}");
+            Vec::new()
+        });
+        let replies = replies.into_iter().map(Some).chain(std::iter::repeat(None));
+        for (waiting, reply) in batch.into_iter().zip(replies) {
+            let ticket = waiting.ticket;
+            let event = reply.map_or(Event::ReplyLost { ticket }, |reply| Event::Replied { ticket, reply });
+            generations.feed(&waiting.running, event);
+        }
+    }
+
+    async fn call<T: serde::de::DeserializeOwned>(
+        &self,
+        peer: &Entry,
+        method: &'static str,
+        body: &impl Serialize,
+    ) -> Result<T> {
+        let members = self.context.part::<Members>().others();
+        let member = members.into_iter().find(|member| member.entry == *peer);
+        let member = member.ok_or_else(|| Error::not_found(format!("entry {peer}"), "another peer is chosen"))?;
+        let client = self.context.part::<peer::Client>();
+        client.call(member.peers, method, body).await
+    }
+}
+
+impl Outbox {
+    fn take(&self) -> Vec<Waiting> {
+        let mut waiting = self.waiting.borrow_mut();
+        let count = waiting.len().min(MAX_BATCH);
+        waiting.drain(..count).collect()
+    }
+}
+
+fn rank(request: &Request, entry: &Entry) -> [u8; 32] {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(request.as_bytes());
+    hasher.update(entry.as_str().as_bytes());
+    *hasher.finalize().as_bytes()
+}
+
+/// Creates the part and removes copies that are no longer refreshed.
+pub(crate) fn start(context: &Rc<Context>) -> Rc<Replicas> {
+    let replicas = Rc::new(Replicas {
+        context: Rc::clone(context),
+        store: RefCell::new(Store::new(Limits::default())),
+        outboxes: RefCell::default(),
+    });
+    context.provide(Rc::clone(&replicas));
+    let expiring = Rc::clone(&replicas);
+    tokio::task::spawn_local(async move {
+        loop {
+            let timer = expiring.context.timer();
+            timer.sleep(EXPIRE_INTERVAL).await;
+            expiring.store.borrow_mut().expire(timer.now());
+        }
+    });
+    replicas
+}
+
+#[distributed_slice(METHODS)]
+static APPEND: Method = Method {
+    name: "replica_append",
+    handle: |context, body| {
+        Box::pin(async move {
+            let appends = peer::decode::<Vec<Append>>(body)?;
+            let replicas = context.part::<Replicas>();
+            let now = context.timer().now();
+            let mut store = replicas.store.borrow_mut();
+            let replies = appends.iter().map(|append| store.append(now, append));
+            peer::encode(&replies.collect::<Vec<_>>())
+        })
+    },
+};
+
+#[distributed_slice(METHODS)]
+static TAKE: Method = Method {
+    name: "replica_take",
+    handle: |context, body| {
+        Box::pin(async move {
+            let take = peer::decode::<Take>(body)?;
+            let now = context.timer().now();
+            let taken: Taken = context.part::<Replicas>().store.borrow_mut().take(now, &take);
+            peer::encode(&taken)
+        })
+    },
+};
+
+#[distributed_slice(METHODS)]
+static DROP: Method = Method {
+    name: "replica_drop",
+    handle: |context, body| {
+        Box::pin(async move {
+            let body = peer::decode::<DropCopy>(body)?;
+            let replicas = context.part::<Replicas>();
+            replicas.store.borrow_mut().drop_copy(&body.request, body.epoch);
+            peer::encode(&())
+        })
+    },
+};
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -20,7 +20,7 @@
 use linkme::distributed_slice;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Semaphore, SemaphorePermit};
 
 use crate::access::{self, Access};
@@ -42,6 +42,10 @@
 const HEAD_BUFFER_BYTES: usize = 4 * MAX_HEAD_BYTES;
 /// The bytes of a header line besides name and value: `: ` and the line end.
 const HEADER_LINE_BYTES: usize = 4;
+/// The bytes that the kernel buffers for one caller; it would hold up to 4 MB for a slow one, which no bound counts.
+const SEND_BUFFER_BYTES: u32 = 16 << 10;
+/// Connections that wait to be accepted.
+const LISTEN_BACKLOG: u32 = 1024;
 /// How long a caller waits when too many bodies are arriving.
 const BODY_RETRY: Duration = Duration::from_secs(1);
 /// How long the listener pauses after it failed to accept, for example without free file descriptors.
@@ -219,7 +223,7 @@
 }
 
 fn start(context: &Rc<Context>) -> Result<()> {
-    let listener = listen(context.settings().entry.listen)?;
+    let listener = listen_for_callers(context.settings().entry.listen)?;
     let free = Semaphore::new(context.settings().limits.request_bytes);
     context.provide(Rc::new(Intake { free }));
     let context = Rc::clone(context);
@@ -241,6 +245,21 @@
     open().map_err(|source| Kind::Listen { address, source }.into())
 }
 
+/// Opens the listening socket for callers, whose connections inherit its small send buffer.
+fn listen_for_callers(address: SocketAddr) -> Result<TcpListener> {
+    let open = || {
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.set_reuseaddr(true)?;
+        socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
+        socket.bind(address)?;
+        socket.listen(LISTEN_BACKLOG)
+    };
+    open().map_err(|source| Kind::Listen { address, source }.into())
+}
+
 async fn accept(context: Rc<Context>, listener: TcpListener) {
     let router = Rc::new(Router::new());
     let open = Arc::new(Semaphore::new(context.settings().limits.connections));
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`engine`] | client of the engines' protocol |
 //! | [`entries`] | entry addresses for callers |
 //! | [`event`] | numbered log events |
+//! | [`generations`] | running generations and their copies |
 //! | [`http`] | server for callers and operators |
 //! | [`kernel`] | the loop, the context and the phases of a run |
 //! | [`logging`] | log output |
@@ -33,6 +34,7 @@
 pub mod claims;
 pub mod client;
 pub mod completions;
+mod completions_reader;
 pub mod configuration;
 mod configuration_admin;
 mod configuration_store;
@@ -40,6 +42,10 @@
 pub mod entries;
 mod error;
 pub mod event;
+pub mod generations;
+mod generations_attempt;
+mod generations_replica;
+mod generations_running;
 pub mod http;
 pub mod kernel;
 pub mod logging;
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -106,7 +106,8 @@
     pub header_timeout: Duration,
     /// The time within which a request body has to arrive.
     pub body_timeout: Duration,
-    /// The time a write to a caller may take without progress.
+    /// The time a write to a caller may take without progress. A third of the kernel's send buffer has to be free for
+    /// progress, which takes half a minute at one token a second.
     pub write_timeout: Duration,
     /// The bytes held for one caller before its source is slowed.
     pub stream_bytes: usize,
@@ -292,7 +293,7 @@
         request_bytes: bytes(&mut section, "request_bytes", 64 << 20)?,
         header_timeout: section.millis("header_timeout_ms", 5_000, 100..=60_000)?,
         body_timeout: section.millis("body_timeout_ms", 10_000, 100..=600_000)?,
-        write_timeout: section.millis("write_timeout_ms", 30_000, 100..=600_000)?,
+        write_timeout: section.millis("write_timeout_ms", 120_000, 100..=600_000)?,
         stream_bytes: bytes(&mut section, "stream_bytes", 256 << 10)?,
         process_bytes: bytes(&mut section, "process_bytes", 64 << 20)?,
         caller_grace: section.millis("caller_grace_ms", 30_000, 0..=3_600_000)?,
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -13,13 +13,16 @@
 use hawthornpost_standins::{Handle, engine, platform, service};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::header::{AUTHORIZATION, HeaderValue};
+use hyper::client::conn::http1;
+use hyper::header::{AUTHORIZATION, HOST, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
 use jiff::Timestamp;
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use serde_json::{Value, json};
 use tempfile::TempDir;
+use tokio::net::TcpSocket;
 use tokio::task::LocalSet;
 
 /// The key of the account `crews`.
@@ -385,6 +388,23 @@
         Self::new(response)
     }
 
+    /// Starts a generation on a connection with a small receive buffer, so that slow reading reaches the daemon instead
+    /// of filling the kernel's buffers.
+    pub async fn start_slow(address: SocketAddr, key: &str, prompt: &str, max_tokens: u32) -> Self {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.set_recv_buffer_size(4096).expect("a small buffer");
+        let stream = socket.connect(address).await.expect("a connection");
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.expect("a handshake");
+        tokio::task::spawn_local(connection);
+        let body = completion(prompt, max_tokens);
+        let mut request = request(Method::POST, "/v1/completions", Some(key), body);
+        let host = HeaderValue::from_str(&address.to_string()).expect("a header value");
+        request.headers_mut().insert(HOST, host);
+        let response = sender.send_request(request).await.expect("a response");
+        assert_eq!(response.status(), StatusCode::OK);
+        Self::new(response)
+    }
+
     /// Goes on at another entry host with the handle and the index of the last token.
     pub async fn resume(&mut self, address: SocketAddr, key: &str) -> StatusCode {
         let mut request = request(Method::POST, "/v1/completions/resume", Some(key), Bytes::new());
