Ask callers to come back while an entry host has no configuration

An entry host that started during an outage of the platform answered 401 to valid keys, because it holds the keys of accounts only with a configuration. It now answers 503 with Retry-After, so that a caller goes to another entry host.

--- a/crates/daemon/src/access.rs
+++ b/crates/daemon/src/access.rs
@@ -1,13 +1,18 @@
 //! Who may call what.
 
+use std::time::Duration;
+
 use hawthornpost_core::id::Account;
 use hyper::HeaderMap;
 use hyper::header::AUTHORIZATION;
 
 use crate::configuration::Current;
-use crate::error::{Kind, Result};
+use crate::error::{Error, Kind, Result};
 use crate::kernel::Context;
 
+/// When a caller may ask an entry host without a configuration again.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Who may call a route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Access {
@@ -23,7 +28,7 @@
 ///
 /// # Errors
 ///
-/// Fails when the key is missing or not known.
+/// Fails when the key is missing or not known, and while there is no configuration that holds the keys of accounts.
 pub fn check(context: &Context, access: Access, headers: &HeaderMap) -> Result<Option<Account>> {
     match access {
         Access::Open => Ok(None),
@@ -34,7 +39,14 @@
 
 fn account(context: &Context, headers: &HeaderMap) -> Result<Account> {
     let hash = key_hash(headers)?;
-    let document = context.part::<Current>().document();
+    let current = context.part::<Current>();
+    if current.version() == 0 {
+        return Err(Error::unavailable(
+            "this entry host has no configuration yet; ask another one",
+            RETRY_AFTER,
+        ));
+    }
+    let document = current.document();
     let (name, _) = document.rules.account_by_key_hash(&hash).ok_or(Kind::Unauthorized)?;
     Ok(name.clone())
 }
