--- a/crates/lab/src/deployment_action.rs
+++ b/crates/lab/src/deployment_action.rs
@@ -42,7 +42,7 @@
 /// Runs an action until its outcome is known or the patience is over, and reports it.
 pub(crate) async fn run(client: &Client, report: &Report, action: &Action) {
     let end = Instant::now() + PATIENCE;
-    let (mut was_unknown, mut last) = (false, String::new());
+    let (mut was_unknown, mut may_run, mut last) = (false, false, String::new());
     let mut route = Vec::new();
     while Instant::now() < end {
         let (address, step) = if was_unknown {
@@ -68,6 +68,9 @@
             }
             Step::Refused(wait) => {
                 "refused as not run".clone_into(&mut last);
+                // A request whose answer was lost may still claim the key.
+                may_run |= was_unknown;
+                was_unknown = false;
                 route.push(format!("{at} ms {address}: refused as not run"));
                 tokio::time::sleep(wait).await;
             }
@@ -79,7 +82,11 @@
             }
         }
     }
-    let known = if was_unknown { Known::Unknown } else { Known::NotRun };
+    let known = if was_unknown || may_run {
+        Known::Unknown
+    } else {
+        Known::NotRun
+    };
     report.action(&action.key, known, &last, &route);
 }
 
@@ -153,6 +160,8 @@
             Some("not_run") => Step::Ended(Known::NotRun, "not run (recorded)".to_owned()),
             _ => Step::Unknown("recorded as unknown".to_owned()),
         },
+        // No request has claimed the key, so that sending again is the way to an outcome.
+        Ok(answer) if answer.code() == "not_found" => Step::Refused(Duration::ZERO),
         Ok(answer) => Step::Unknown(format!("lookup: {} {}", answer.status.as_u16(), answer.code())),
     };
     (address, step)
--- a/crates/lab/src/deployment_fleet.rs
+++ b/crates/lab/src/deployment_fleet.rs
@@ -9,13 +9,13 @@
 use hawthornpost_core::inventory::{Fencing, Item, Role};
 use hawthornpost_standins::{Handle, engine, platform, service};
 use hyper::Method;
-use serde_json::{Value, json};
 use tempfile::TempDir;
 
 use crate::deployment_client::{self, exchange};
 use crate::deployment_entry::Entry;
 use crate::deployment_files::{EntryFile, Files};
 use crate::deployment_plan::Plan;
+use crate::path_daemon::objects;
 
 /// The shortest answer in tokens.
 const MIN_ANSWER: u32 = 200;
@@ -136,20 +136,12 @@
 
 fn platform_settings(files: &Files) -> platform::Settings {
     platform::Settings {
-        objects: objects(files),
+        objects: objects(&files.document),
         latency: PLATFORM_LATENCY,
         ..platform::Settings::default()
     }
 }
 
-fn objects(files: &Files) -> Vec<Value> {
-    vec![json!({
-        "plural": "configheads",
-        "metadata": { "name": "current" },
-        "spec": { "version": 1, "document": files.document },
-    })]
-}
-
 fn start_target(item: &Item, gap: Duration, seed: u64) -> io::Result<Handle> {
     match &item.role {
         Role::Engine {
--- a/crates/lab/src/path_daemon.rs
+++ b/crates/lab/src/path_daemon.rs
@@ -119,7 +119,15 @@
 
 fn platform_settings(engine: SocketAddr) -> platform::Settings {
     let document = serde_json::from_value::<Document>(document(engine)).expect("a document");
-    let chunks = Chunk::cut(&document).expect("chunks");
+    platform::Settings {
+        objects: objects(&document),
+        ..platform::Settings::default()
+    }
+}
+
+/// Builds the platform's objects for the first version of a configuration.
+pub(crate) fn objects(document: &Document) -> Vec<Value> {
+    let chunks = Chunk::cut(document).expect("chunks");
     let proposal = Proposal {
         chunks: chunks.iter().map(|chunk| chunk.hash).collect(),
         author: "lab".to_owned(),
@@ -136,10 +144,7 @@
     };
     let mut objects = chunks.iter().map(chunk_object).collect::<Vec<_>>();
     objects.push(json!({ "plural": "configheads", "metadata": { "name": "current" }, "spec": head }));
-    platform::Settings {
-        objects,
-        ..platform::Settings::default()
-    }
+    objects
 }
 
 fn document(engine: SocketAddr) -> Value {
