--- a/crates/daemon/src/configuration.rs
+++ b/crates/daemon/src/configuration.rs
@@ -323,9 +323,12 @@
     let context = Rc::clone(&configuration.context);
     let poll = context.settings().platform.poll;
     let client = context.part::<platform::Client>();
+    // An outage is reported by its first error; the client reports loss and return of the platform.
+    let mut is_reported = false;
     loop {
         match configuration.read().await {
             Ok(stored) => {
+                is_reported = false;
                 let version = stored.map_or_else(|| "0".to_owned(), |stored| stored.resource_version);
                 let watch = client.watch("configheads", &version, |object| {
                     configuration.platform_answered();
@@ -339,7 +342,9 @@
                 }
             }
             Err(error) => {
-                Event::ConfigurationUnread { error: &error }.log();
+                if !std::mem::replace(&mut is_reported, true) {
+                    Event::ConfigurationUnread { error: &error }.log();
+                }
                 context.timer().sleep(poll).await;
             }
         }
