--- a/crates/daemon/tests/configuration.rs
+++ b/crates/daemon/tests/configuration.rs
@@ -159,7 +159,11 @@
         );
         deployment.in_force(0, 2).await;
         let (status, answer) = deployment.apply(0, 1, 300).await;
-        assert_eq!((status, &answer["version"]), (StatusCode::CONFLICT, &json!(2)), "{answer}");
+        assert_eq!(
+            (status, &answer["version"]),
+            (StatusCode::CONFLICT, &json!(2)),
+            "{answer}"
+        );
         let history = deployment.entries[1].admin("/v1/admin/config/history").await;
         assert_eq!(history["versions"].as_array().map_or(0, Vec::len), 2, "{history}");
     });
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -14,6 +14,7 @@
 mod deployment_plan;
 mod deployment_report;
 pub mod experiment;
+mod inforce;
 mod membership;
 mod overload;
 mod path;
