Issue orders to engines under a lease

`POST /v1/admin/orders` of any entry host wants an order; the entry host takes the lease object `leases/orders`, waits for the orders of the earlier holder where the engine ignores fencing numbers, and releases the lease when nothing is left. A pause of the process makes it forget the lease. The connection for an order is made within the travel time or not at all, so that an order cannot outlive the end time that the lease object tells.

--- a/crates/core/src/order.rs
+++ b/crates/core/src/order.rs
@@ -68,6 +68,8 @@
     pub version: Version,
     /// The adapter, if the order is about one.
     pub adapter: Option<String>,
+    /// The new role, if the order is about one.
+    pub role: Option<String>,
     /// How much the engine fetches from the weight store, in bytes.
     pub weight_bytes: u64,
 }
@@ -101,6 +103,9 @@
     /// The adapter, if the order is about one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub adapter: Option<String>,
+    /// The new role, if the order is about one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub role: Option<String>,
     /// How long after its arrival the engine may begin to execute the order.
     #[serde(rename = "expires_in_ms")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
@@ -379,6 +384,7 @@
             model: self.model.clone(),
             version: self.version.clone(),
             adapter: self.adapter.clone(),
+            role: self.role.clone(),
             expires_in: life,
         }
     }
--- a/crates/core/tests/lease.rs
+++ b/crates/core/tests/lease.rs
@@ -61,6 +61,7 @@
         model: Model::new("letters").expect("valid name"),
         version: Version::new("v2").expect("valid name"),
         adapter: None,
+        role: None,
         weight_bytes,
     }
 }
--- a/crates/daemon/src/client.rs
+++ b/crates/daemon/src/client.rs
@@ -47,8 +47,20 @@
 /// # Errors
 ///
 /// Fails when the connection cannot be made or breaks before the head of the response.
-pub async fn open(address: SocketAddr, mut request: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
-    let stream = connect(address).await?;
+pub async fn open(address: SocketAddr, request: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
+    open_on(connect(address).await?, address, request).await
+}
+
+/// Sends a request on a connection that was made for it.
+///
+/// # Errors
+///
+/// Fails when the connection breaks before the head of the response.
+pub async fn open_on(
+    stream: TcpStream,
+    address: SocketAddr,
+    mut request: Request<Full<Bytes>>,
+) -> Result<Response<Incoming>> {
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (mut sender, connection) = handshake.map_err(|source| Kind::Transport { address, source })?;
     tokio::task::spawn_local(async move {
@@ -119,7 +131,12 @@
     })
 }
 
-async fn connect(address: SocketAddr) -> Result<TcpStream> {
+/// Makes a connection.
+///
+/// # Errors
+///
+/// Fails when the connection cannot be made.
+pub async fn connect(address: SocketAddr) -> Result<TcpStream> {
     let stream = TcpStream::connect(address).await;
     let stream = stream.map_err(|source| Kind::Connect { address, source })?;
     stream
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -17,6 +17,7 @@
 //! | [`logging`] | log output |
 //! | [`members`] | live entry hosts |
 //! | [`metric`] | names and page of the metrics |
+//! | [`orders`] | orders to engines |
 //! | [`peer`] | calls between entry hosts |
 //! | [`platform`] | client of the platform API |
 //! | [`plugin`] | plug-ins that register themselves |
@@ -45,6 +46,7 @@
 pub mod logging;
 pub mod members;
 pub mod metric;
+pub mod orders;
 pub mod peer;
 pub mod platform;
 pub mod plugin;
