Route requests by room, load and prompt caches in the daemon

The first path chose the target with the fewest own requests and knew nothing of its memory, of other entry hosts, or of targets that leave.

`limits` polls load and cache events, shares rooms by the members and holds the retry budgets; `routing` ranks and admits before the response begins, so that a refusal has status 429 or 503 with Retry-After. `leaving` marks targets by the hosts list, by their own 503 and by the word of other entry hosts, who repeat it every 30 s and to members that appear. `GET /v1/entries` spreads callers over the ready members. The kernel drains with the core's machine: after drain_limit it enters the phase "handing over". A connection that comes while draining is answered with 503; it was closed without an answer before.

--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -44,7 +44,7 @@
         Self {
             spread: Duration::from_secs(5),
             settle: Duration::from_secs(8),
-            rise: Duration::from_secs(30),
+            rise: Duration::from_secs(10),
             hold: Duration::from_secs(600),
             pause: Duration::from_secs(1),
             report: Duration::from_secs(3),
--- a/crates/core/src/limit_gate.rs
+++ b/crates/core/src/limit_gate.rs
@@ -82,6 +82,11 @@
         }
     }
 
+    /// Returns the times and bounds.
+    pub fn timing(&self) -> Timing {
+        self.books.borrow().timing
+    }
+
     /// Adds a target of a model, or changes its capacity.
     pub fn add(&mut self, now: Instant, target: &Target, model: &Model, capacity: u64) {
         let mut books = self.books.borrow_mut();
--- a/crates/core/src/prefix.rs
+++ b/crates/core/src/prefix.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Instant;
-use crate::id::{Model, Target};
+use crate::id::Target;
 
 /// The bytes of prompt text in one block; about 16 tokens.
 pub const BLOCK_BYTES: usize = 64;
@@ -45,20 +45,18 @@
     Cleared,
 }
 
-/// Returns the hashes of the whole blocks of a prompt.
+/// Returns the hashes of the whole blocks of a prompt, as engines publish them: the first eight bytes, in little-endian
+/// order, of the `blake3` hash of the text up to the end of the block.
 ///
 /// ```
 /// use hawthornpost_core::prefix::blocks;
 ///
-/// let model = "letters".parse()?;
 /// let (short, long) = ("a".repeat(64), "a".repeat(128));
-/// assert_eq!(blocks(&model, &short)[0], blocks(&model, &long)[0]);
-/// assert_eq!(blocks(&model, &long).len(), 2);
-/// # Ok::<(), hawthornpost_core::Error>(())
+/// assert_eq!(blocks(&short)[0], blocks(&long)[0]);
+/// assert_eq!(blocks(&long).len(), 2);
 /// ```
-pub fn blocks(model: &Model, prompt: &str) -> Vec<Block> {
+pub fn blocks(prompt: &str) -> Vec<Block> {
     let mut hasher = blake3::Hasher::new();
-    hasher.update(model.as_str().as_bytes());
     let whole = prompt.as_bytes().chunks_exact(BLOCK_BYTES).take(MAX_BLOCKS);
     whole
         .map(|block| {
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -136,6 +136,18 @@
         state.suspected_until = None;
     }
 
+    /// Takes the prompt of a request off the count that ended without a first token.
+    pub fn abandoned(&mut self, target: &Target, uncached: u64) {
+        let state = self.state(target);
+        state.pending = state.pending.saturating_sub(uncached);
+    }
+
+    /// Returns whether a report shows that the target has started again; its numbers then begin anew.
+    pub fn has_restarted(&self, target: &Target, load: &Load) -> bool {
+        let last = self.targets.get(target).and_then(|state| state.report.as_ref());
+        last.is_some_and(|(_, last)| load.sequence < last.sequence)
+    }
+
     /// Takes a request off the count.
     pub fn ended(&mut self, target: &Target) {
         let state = self.state(target);
--- a/crates/core/tests/route.rs
+++ b/crates/core/tests/route.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hawthornpost_core::clock::Instant;
-use hawthornpost_core::id::{Entry, Model, Target};
+use hawthornpost_core::id::{Entry, Target};
 use hawthornpost_core::prefix::{Block, Bounds, Event, Index, Kind, blocks};
 use hawthornpost_core::route::{Ask, Candidate, Costs, Router, Subset};
 use hawthornpost_core::wire::Load;
@@ -39,7 +39,6 @@
 
 impl Bench {
     fn new() -> Self {
-        let model: Model = "letters".parse().unwrap();
         Self {
             router: Router::new(Costs {
                 tolerance: 0.0,
@@ -47,7 +46,7 @@
             }),
             index: Index::default(),
             targets: targets(2),
-            blocks: blocks(&model, &"field log ".repeat(800)),
+            blocks: blocks(&"field log ".repeat(800)),
         }
     }
 
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -44,6 +44,7 @@
         Phase::Running => "running",
         Phase::Leaving => "leaving",
         Phase::Draining => "draining",
+        Phase::HandingOver => "handing over",
         Phase::Stopped => "stopped",
     };
     json!({
--- a/crates/daemon/src/completions.rs
+++ b/crates/daemon/src/completions.rs
@@ -48,6 +48,8 @@
     account: Account,
     generate: Generate,
     next: u32,
+    /// The engine of the first attempt; it is chosen before the response begins, so that a refusal has its own status.
+    first: Option<Choice>,
 }
 
 async fn complete(context: Rc<Context>, call: Call) -> Result<Response<Body>> {
@@ -63,12 +65,15 @@
     let completion = call.json::<Completion>(&context).await?;
     let generate = prepare(&context, &completion)?;
     let request = generate.request_id;
-    let generation = Generation {
+    let mut generation = Generation {
         context,
         account,
         generate,
         next: 0,
+        first: None,
     };
+    let routing = generation.context.part::<Routing>();
+    generation.first = Some(routing.engine(&generation.query(&[]))?);
     let mut response = if completion.stream {
         stream(generation)
     } else {
@@ -145,33 +150,42 @@
         let routing = self.context.part::<Routing>();
         let mut tried = Vec::new();
         loop {
-            let choice = routing.engine(&self.query(&tried))?;
+            let mut choice = match self.first.take() {
+                Some(first) => first,
+                None => routing.engine(&self.query(&tried))?,
+            };
             tried.push(choice.target.clone());
-            match self.attempt(&choice, output).await {
+            match self.attempt(&mut choice, output).await {
                 Ok(finish) => {
                     self.observe(&choice.target, Observation::Finished);
+                    choice.finished();
                     return Ok(finish);
                 }
-                Err(error) => {
-                    let is_refusal = matches!(error.kind(), crate::error::Kind::Status { .. });
-                    let observation = if is_refusal {
-                        Observation::Failed
-                    } else {
-                        Observation::Lost
-                    };
-                    self.observe(&choice.target, observation);
-                    Event::AttemptFailed {
-                        request: &self.generate.request_id,
-                        target: &choice.target,
-                        error: &error,
-                    }
-                    .log();
-                }
+                Err(error) => self.note_failure(&choice, &error),
             }
             self.generate.attempt = self.generate.attempt.next();
         }
     }
 
+    fn note_failure(&self, choice: &Choice, error: &Error) {
+        let is_refusal = matches!(error.kind(), crate::error::Kind::Status { .. });
+        let observation = if is_refusal {
+            Observation::Failed
+        } else {
+            Observation::Lost
+        };
+        self.observe(&choice.target, observation);
+        if error.is_leaving() {
+            choice.refused_as_leaving();
+        }
+        Event::AttemptFailed {
+            request: &self.generate.request_id,
+            target: &choice.target,
+            error,
+        }
+        .log();
+    }
+
     fn query<'a>(&'a self, tried: &'a [Target]) -> Query<'a> {
         Query {
             account: &self.account,
@@ -195,7 +209,7 @@
         self.context.part::<Rollouts>().observe(origin, observation);
     }
 
-    async fn attempt(&mut self, choice: &Choice, output: &mut Output) -> Result<Finish> {
+    async fn attempt(&mut self, choice: &mut Choice, output: &mut Output) -> Result<Finish> {
         let mut last = self.context.timer().now();
         let mut stream = Stream::start(choice.address, &self.generate).await?;
         while let Some(engine::Event::Frame(frame)) = stream.next().await? {
@@ -206,6 +220,9 @@
             };
             self.observe(&choice.target, observation);
             last = now;
+            if !choice.produced(u32::try_from(frame.tokens.len()).unwrap_or(u32::MAX)) {
+                log::debug!("{} has no room for the rest of an answer", choice.target);
+            }
             if let Some(finish) = self.accept(frame, output).await? {
                 return Ok(finish);
             }
--- a/crates/daemon/src/entries.rs
+++ b/crates/daemon/src/entries.rs
@@ -2,27 +2,68 @@
 
 use std::rc::Rc;
 
-use hyper::Method;
+use hawthornpost_core::discovery::{self, Caller, Candidate};
+use hawthornpost_core::id::Account;
+use hyper::header::HeaderValue;
+use hyper::{Method, Response};
 use linkme::distributed_slice;
 use serde_json::json;
 
 use crate::access::Access;
-use crate::http::{self, ROUTES, Route};
+use crate::error::Result;
+use crate::http::{self, Body, Call, ROUTES, Route};
 use crate::kernel::{Context, Phase};
+use crate::limits::Limits;
+use crate::members::{Member, Members};
+
+/// All entries have the same weight until the settings tell their size.
+const WEIGHT: u32 = 1;
 
 #[distributed_slice(ROUTES)]
 static ENTRIES: Route = Route {
     method: || Method::GET,
     path: "/v1/entries",
     access: Access::Account,
-    handle: |context, _| Box::pin(async move { Ok(http::json(&entries(&context))) }),
+    handle: |context, call| Box::pin(async move { entries(&context, &call) }),
 };
 
-fn entries(context: &Rc<Context>) -> serde_json::Value {
-    let settings = context.settings();
-    let own = (context.phase() == Phase::Running).then_some(settings.entry.advertise);
-    json!({
-        "entries": own.into_iter().collect::<Vec<_>>(),
-        "lifetime_ms": u64::try_from(settings.limits.address_lifetime.as_millis()).unwrap_or(u64::MAX),
-    })
+fn entries(context: &Rc<Context>, call: &Call) -> Result<Response<Body>> {
+    let lifetime = context.settings().limits.address_lifetime;
+    let origin = origin(call);
+    let caller = Caller {
+        account: call.account()?,
+        origin: &origin,
+    };
+    let offer = discovery::offer(caller, &candidates(context), lifetime);
+    let addresses = offer.entries.iter().map(|entry| entry.address);
+    Ok(http::json(&json!({
+        "entries": addresses.collect::<Vec<_>>(),
+        "lifetime_ms": offer.lifetime_ms,
+    })))
+}
+
+/// Returns the address of another entry host, as a header value, for a caller that this one cannot serve.
+pub fn other(context: &Rc<Context>, account: &Account, origin: &str) -> Option<HeaderValue> {
+    let caller = Caller { account, origin };
+    let other = discovery::other(caller, &candidates(context), &context.settings().entry.name)?;
+    HeaderValue::from_str(&other.address.to_string()).ok()
+}
+
+/// Returns what tells the callers of an account apart.
+pub fn origin(call: &Call) -> String {
+    call.caller().map(|address| address.to_string()).unwrap_or_default()
+}
+
+fn candidates(context: &Rc<Context>) -> Vec<Candidate> {
+    let own = context.settings().entry.name.clone();
+    let is_ready = context.part::<Limits>().is_ready() && context.phase() == Phase::Running;
+    let members = context.part::<Members>().all();
+    let candidate = |member: Member| Candidate {
+        open: if member.entry == own { is_ready } else { !member.leaving },
+        address: member.callers,
+        data_centre: member.data_centre,
+        weight: WEIGHT,
+        entry: member.entry,
+    };
+    members.into_iter().map(candidate).collect()
 }
--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -73,6 +73,8 @@
     Conflict { detail: String, remedy: String },
     #[error("{detail}; retry after {retry_after:?}")]
     Unavailable { detail: String, retry_after: Duration },
+    #[error("{detail}; retry after {retry_after:?} or ask the operators for a larger share")]
+    Limited { detail: String, retry_after: Duration },
     #[error("{detail}; {remedy}")]
     NotRun {
         scope: &'static str,
@@ -92,6 +94,11 @@
         &self.kind
     }
 
+    /// Returns whether a target refused work because it is leaving.
+    pub fn is_leaving(&self) -> bool {
+        matches!(&*self.kind, Kind::Status { status, .. } if *status == StatusCode::SERVICE_UNAVAILABLE)
+    }
+
     /// Builds an error about a malformed request.
     pub fn bad_request(detail: impl fmt::Display, remedy: impl Into<String>) -> Self {
         Self::from(Kind::BadRequest {
@@ -124,6 +131,14 @@
         })
     }
 
+    /// Builds an error about an account that uses its whole share.
+    pub fn limited(detail: impl Into<String>, retry_after: Duration) -> Self {
+        Self::from(Kind::Limited {
+            detail: detail.into(),
+            retry_after,
+        })
+    }
+
     /// Builds an error about work that failed and is not repeated.
     pub fn failed(detail: impl Into<String>, remedy: impl Into<String>) -> Self {
         Self::from(Kind::Failed {
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -80,6 +80,8 @@
     103 Info Draining { work } "draining: {work} pieces of work are running"
     /// The daemon ends.
     104 Info Stopped {} "stopped"
+    /// The time for running work is over.
+    105 Info HandingOver { work } "the drain limit is over: {work} pieces of work are handed over"
     /// The listener cannot take a connection.
     111 Warn AcceptFailed { error } "cannot accept a connection: {error}"
     /// A new version is in use.
@@ -108,6 +110,10 @@
     401 Warn AttemptFailed { request, target, error } "request {request}: the attempt at {target} failed: {error}"
     /// The caller is told that its answer is not whole.
     402 Warn GenerationFailed { request, error } "request {request}: the generation failed: {error}"
+    /// A target is marked, so that it gets no new work.
+    701 Info TargetLeaving { target, source } "target {target} is leaving, by {source}: it gets no new work"
+    /// A target is no longer marked.
+    702 Info TargetBack { target } "target {target} takes work again"
 }
 
 impl Event<'_> {
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -1,7 +1,7 @@
 //! Server for callers and operators.
 
 use std::convert::Infallible;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -89,6 +89,11 @@
         self.request.headers().get(name).and_then(|value| value.to_str().ok())
     }
 
+    /// Returns the network address of the caller, if the call came over the network.
+    pub fn caller(&self) -> Option<IpAddr> {
+        self.request.extensions().get().copied()
+    }
+
     /// Returns the account of the caller.
     ///
     /// # Errors
@@ -250,10 +255,10 @@
             return;
         };
         match listener.accept().await {
-            Ok((stream, _)) => {
+            Ok((stream, peer)) => {
                 let (context, router) = (Rc::clone(&context), Rc::clone(&router));
                 tokio::task::spawn_local(async move {
-                    serve(context, router, stream).await;
+                    serve(context, router, stream, peer.ip()).await;
                     drop(permit);
                 });
             }
@@ -265,26 +270,30 @@
     }
 }
 
-async fn serve(context: Rc<Context>, router: Rc<Router>, stream: TcpStream) {
+async fn serve(context: Rc<Context>, router: Rc<Router>, stream: TcpStream, caller: IpAddr) {
     // A token is a small write; waiting to fill a packet would delay it.
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("cannot set TCP_NODELAY: {error}");
     }
     let header_timeout = context.settings().limits.header_timeout;
     let mut phase = context.watch_phase();
-    let service = service_fn(move |request| {
+    // A caller that comes too late is told so, instead of a connection that closes without an answer.
+    let is_late = context.phase() >= Phase::Draining;
+    let service = service_fn(move |mut request: Request<Incoming>| {
         let (context, router) = (Rc::clone(&context), Rc::clone(&router));
+        request.extensions_mut().insert(caller);
         async move { Ok::<_, Infallible>(answer(context, &router, request).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(header_timeout)
         .max_buf_size(HEAD_BUFFER_BYTES)
+        .keep_alive(!is_late)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        _ = phase.wait_for(|phase| *phase >= Phase::Draining) => {
+        _ = phase.wait_for(|phase| *phase >= Phase::Draining), if !is_late => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -344,7 +353,8 @@
 
 fn ready(context: &Context) -> Response<Body> {
     let configured = context.part::<crate::configuration::Current>().version() > 0;
-    if configured && context.phase() == Phase::Running {
+    let has_room = context.part::<crate::limits::Limits>().is_ready();
+    if configured && has_room && context.phase() == Phase::Running {
         return Response::new(full("ready\n"));
     }
     let mut response = Response::new(full("not ready\n"));
--- a/crates/daemon/src/kernel.rs
+++ b/crates/daemon/src/kernel.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hawthornpost_core::discovery::{self, Command, Drain};
 use serde_json::Value;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
@@ -43,6 +44,8 @@
     Leaving,
     /// No new work is taken; running work finishes.
     Draining,
+    /// The time for running work is over; streams end in a way that callers can resume elsewhere.
+    HandingOver,
     /// The process ends.
     Stopped,
 }
@@ -199,18 +202,42 @@
 /// Leaves in three steps, so that callers who still hold the address are served until it has lapsed and nothing that
 /// runs is cut off.
 async fn shut_down(context: &Rc<Context>) {
-    let lifetime = format!("{:?}", context.settings.limits.address_lifetime);
-    Event::Leaving { lifetime: &lifetime }.log();
-    context.advance(Phase::Leaving);
-    context.timer.sleep(context.settings.limits.address_lifetime).await;
-    context.advance(Phase::Draining);
-    Event::Draining {
-        work: &context.running_work(),
-    }
-    .log();
-    while context.running_work() > 0 {
+    let limits = &context.settings.limits;
+    let mut drain = Drain::new(limits.address_lifetime, limits.drain_limit);
+    let mut commands = drain.handle(context.timer.now(), discovery::Event::Leave);
+    loop {
+        for command in commands {
+            carry_out(context, command);
+        }
+        if context.phase() == Phase::Stopped {
+            return;
+        }
         context.timer.sleep(DRAIN_POLL).await;
+        let open = discovery::Event::Open(context.running_work());
+        commands = drain.handle(context.timer.now(), open);
+    }
+}
+
+fn carry_out(context: &Context, command: Command) {
+    match command {
+        Command::Withdraw => {
+            let lifetime = format!("{:?}", context.settings.limits.address_lifetime);
+            Event::Leaving { lifetime: &lifetime }.log();
+            context.advance(Phase::Leaving);
+        }
+        Command::StopAccepting => {
+            context.advance(Phase::Draining);
+            let work = context.running_work();
+            Event::Draining { work: &work }.log();
+        }
+        Command::HandOver => {
+            context.advance(Phase::HandingOver);
+            let work = context.running_work();
+            Event::HandingOver { work: &work }.log();
+        }
+        Command::Stop => {
+            context.advance(Phase::Stopped);
+            Event::Stopped {}.log();
+        }
     }
-    context.advance(Phase::Stopped);
-    Event::Stopped {}.log();
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -14,6 +14,8 @@
 //! | [`event`] | numbered log events |
 //! | [`http`] | server for callers and operators |
 //! | [`kernel`] | the loop, the context and the phases of a run |
+//! | [`leaving`] | targets that are leaving |
+//! | [`limits`] | room, load and caches of targets |
 //! | [`logging`] | log output |
 //! | [`members`] | live entry hosts |
 //! | [`metric`] | names and page of the metrics |
@@ -42,6 +44,8 @@
 pub mod event;
 pub mod http;
 pub mod kernel;
+pub mod leaving;
+pub mod limits;
 pub mod logging;
 pub mod members;
 pub mod metric;
--- a/crates/daemon/src/metric.rs
+++ b/crates/daemon/src/metric.rs
@@ -24,7 +24,7 @@
 pub const CONFIG_VERSION: &str = "hawthornpost_config_version";
 /// The pieces of work that are running.
 pub const RUNNING_WORK: &str = "hawthornpost_running_work";
-/// The phase of the run: 0 running, 1 leaving, 2 draining, 3 stopped.
+/// The phase of the run: 0 running, 1 leaving, 2 draining, 3 handing over, 4 stopped.
 pub const PHASE: &str = "hawthornpost_phase";
 /// The memory of the process that is in use, in bytes.
 pub const RESIDENT_BYTES: &str = "hawthornpost_resident_bytes";
@@ -35,7 +35,10 @@
     (EVENTS, "numbered log events, by number"),
     (CONFIG_VERSION, "configuration version that is applied"),
     (RUNNING_WORK, "pieces of work that are running"),
-    (PHASE, "phase of the run: 0 running, 1 leaving, 2 draining, 3 stopped"),
+    (
+        PHASE,
+        "phase of the run: 0 running, 1 leaving, 2 draining, 3 handing over, 4 stopped",
+    ),
     (RESIDENT_BYTES, "memory of the process that is in use, in bytes"),
 ];
 
--- a/crates/daemon/src/problem.rs
+++ b/crates/daemon/src/problem.rs
@@ -106,6 +106,7 @@
             "key_reused",
             "The key belongs to another action",
         ),
+        Kind::Limited { .. } => (StatusCode::TOO_MANY_REQUESTS, "limited", "The account's share is used"),
         Kind::Unavailable { .. } => (StatusCode::SERVICE_UNAVAILABLE, "unavailable", "Refused for now"),
         Kind::Connect { .. }
         | Kind::Transport { .. }
@@ -140,7 +141,7 @@
 
 fn retry_after(kind: &Kind) -> Option<Duration> {
     match kind {
-        Kind::Unavailable { retry_after, .. } => Some(*retry_after),
+        Kind::Unavailable { retry_after, .. } | Kind::Limited { retry_after, .. } => Some(*retry_after),
         _ => None,
     }
 }
--- a/crates/daemon/src/routing.rs
+++ b/crates/daemon/src/routing.rs
@@ -1,24 +1,34 @@
 //! Choice of the target for a request.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use hawthornpost_core::id::{Account, Model, Service, Target, Version};
 use hawthornpost_core::inventory::Item;
+use hawthornpost_core::limit::{Cause, Charge, Demand, Refusal};
+use hawthornpost_core::prefix::{self, Block};
+use hawthornpost_core::route::{Ask, Candidate, prompt_tokens};
 use linkme::distributed_slice;
-use serde_json::json;
 
 use crate::configuration::Current;
 use crate::error::{Error, Result};
 use crate::kernel::Context;
+use crate::leaving::{Leaving, Source};
+use crate::limits::{Limits, State};
 use crate::plugin::{PLUGINS, Plugin, Stage};
 use crate::rollouts::Rollouts;
 
 /// When a caller should come back after no target was left.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// How long a target is avoided after an attempt there has failed.
+const SUSPECTED_FOR: Duration = Duration::from_secs(5);
+/// The network time to a target in another data centre and back.
+const OTHER_DATA_CENTRE: Duration = Duration::from_millis(2);
+/// The tokens that a charge grows by; its target produces them in a few seconds.
+const GROWTH: u64 = 128;
 
 /// What an engine is wanted for.
 #[derive(Clone, Copy, Debug)]
@@ -41,21 +51,40 @@
     pub tried: &'a [Target],
 }
 
-/// Chooses targets and counts the requests that this daemon has at each.
+/// Chooses targets within their room.
 #[derive(Debug)]
 pub struct Routing {
     context: Rc<Context>,
-    outstanding: Rc<RefCell<HashMap<Target, usize>>>,
+    /// The calls that this daemon has at each instance of a plain service.
+    calls: Rc<RefCell<BTreeMap<Target, usize>>>,
 }
 
-/// A chosen target; dropping it takes the request off the target's count.
+/// A chosen target; dropping it gives the room back.
 #[derive(Debug)]
 pub struct Choice {
     /// The name of the target.
     pub target: Target,
     /// The address of the target.
     pub address: SocketAddr,
-    outstanding: Rc<RefCell<HashMap<Target, usize>>>,
+    context: Rc<Context>,
+    work: Work,
+}
+
+/// What a choice has to give back.
+#[derive(Debug)]
+enum Work {
+    Generation {
+        charge: Charge,
+        account: Account,
+        model: Model,
+        blocks: Vec<Block>,
+        /// The tokens of the prompt that the engine has to compute before the first token.
+        uncached: u64,
+        first_token: bool,
+        /// The tokens of the answer, with those of earlier attempts.
+        length: u64,
+    },
+    Call(Rc<RefCell<BTreeMap<Target, usize>>>),
 }
 
 impl Routing {
@@ -63,54 +92,227 @@
     ///
     /// # Errors
     ///
-    /// Fails with a time to retry when no engine of the version has room, and without one when none is left.
+    /// Fails with a time to retry when no engine of the version has room, when the account's share is used, and when a
+    /// further attempt would exceed the retry budget.
     pub fn engine(&self, query: &Query<'_>) -> Result<Choice> {
+        let now = self.context.timer().now();
         let document = self.context.part::<Current>().document();
         let rollouts = self.context.part::<Rollouts>();
+        let limits = self.context.part::<Limits>();
+        limits.refresh();
+        let mut state = limits.state();
+        if let Some(failed) = query.tried.last() {
+            self.retry(&mut state, failed, query.account)?;
+        }
+        let rule = document.rules.accounts.get(query.account);
+        let produced = u64::from(query.resumed_tokens);
+        let whole = u64::from(query.max_tokens).max(produced + 1);
+        let expected = state.lengths.expected(query.account, query.model, whole);
+        let demand = Demand {
+            account: query.account,
+            priority: query.priority.min(rule.map_or(9, |rule| rule.priority)),
+            share: rule.map_or(1, |rule| rule.share),
+            prompt: prompt_tokens(query.prompt) + produced,
+            expected: expected.saturating_sub(produced).max(1),
+        };
+        let blocks = prefix::blocks(query.prompt);
+        let ask = Ask {
+            prompt: demand.prompt,
+            tokens: demand.tokens(),
+            blocks: &blocks,
+            priority: demand.priority,
+        };
         let engines = document.inventory.engines(query.model, query.version);
-        let engines = engines.filter(|(target, _)| rollouts.is_in_use(query.model, query.version, target));
-        self.least_loaded(engines, query.tried).ok_or_else(|| no_engine(query))
+        let engines = engines
+            .filter(|(target, _)| rollouts.is_in_use(query.model, query.version, target))
+            .filter(|(target, _)| !query.tried.contains(target))
+            .collect::<BTreeMap<_, _>>();
+        let ranked = self.rank(&mut state, &ask, &engines);
+        let mut refusal = None;
+        for target in ranked {
+            match state.gate.admit(now, target, &demand) {
+                Ok(charge) => {
+                    let uncached = state.uncached(&ask, target);
+                    state.router.started(target, uncached);
+                    if query.tried.is_empty() {
+                        state.budget.deposit(now, target, query.account);
+                    }
+                    let work = Work::Generation {
+                        charge,
+                        account: query.account.clone(),
+                        model: query.model.clone(),
+                        blocks,
+                        uncached,
+                        first_token: false,
+                        length: produced,
+                    };
+                    return Ok(self.choice(target, engines[target], work));
+                }
+                Err(refused) => refusal = Some(shorter(refusal, refused)),
+            }
+        }
+        Err(refused(query, refusal))
     }
 
     /// Chooses an instance of a plain service, other than those in `tried`.
     ///
     /// # Errors
     ///
-    /// Fails with a time to retry when no instance is left.
+    /// Fails with a time to retry when no instance is left, and when a further attempt would exceed the retry budget.
     pub fn instance(&self, service: &Service, tried: &[Target]) -> Result<Choice> {
         let document = self.context.part::<Current>().document();
-        self.least_loaded(document.inventory.instances(service), tried)
-            .ok_or_else(|| Error::unavailable(format!("no target of {service} is left"), RETRY_AFTER))
+        let leaving = self.context.part::<Leaving>();
+        let limits = self.context.part::<Limits>();
+        let mut state = limits.state();
+        let account = Account::new(service)?;
+        if let Some(failed) = tried.last() {
+            self.retry(&mut state, failed, &account)?;
+        }
+        let load = |name: &Target| self.calls.borrow().get(name).copied().unwrap_or(0);
+        let chosen = document
+            .inventory
+            .instances(service)
+            .filter(|(name, _)| !tried.contains(name) && !leaving.is_marked(name))
+            .min_by_key(|(name, _)| load(name));
+        let (name, item) =
+            chosen.ok_or_else(|| Error::unavailable(format!("no target of {service} is left"), RETRY_AFTER))?;
+        if tried.is_empty() {
+            state.budget.deposit(self.context.timer().now(), name, &account);
+        }
+        *self.calls.borrow_mut().entry(name.clone()).or_default() += 1;
+        Ok(self.choice(name, item, Work::Call(Rc::clone(&self.calls))))
     }
 
-    fn least_loaded<'a>(
-        &self,
-        items: impl Iterator<Item = (&'a Target, &'a Item)>,
-        tried: &[Target],
-    ) -> Option<Choice> {
-        let load = |name: &Target| self.outstanding.borrow().get(name).copied().unwrap_or(0);
-        let (name, item) = items
-            .filter(|(name, _)| !tried.contains(name))
-            .min_by_key(|(name, _)| load(name))?;
-        *self.outstanding.borrow_mut().entry(name.clone()).or_default() += 1;
-        Some(Choice {
-            target: name.clone(),
+    fn rank<'a>(&self, state: &mut State, ask: &Ask<'_>, engines: &BTreeMap<&'a Target, &'a Item>) -> Vec<&'a Target> {
+        let now = self.context.timer().now();
+        let leaving = self.context.part::<Leaving>();
+        let own = &self.context.settings().entry.data_centre;
+        let candidates = engines.iter().filter(|(target, _)| !leaving.is_marked(target));
+        let candidates = candidates.map(|(target, item)| Candidate {
+            target,
+            distance: if item.data_centre == *own {
+                Duration::ZERO
+            } else {
+                OTHER_DATA_CENTRE
+            },
+            free: state.gate.free(now, target),
+        });
+        let candidates = candidates.collect::<Vec<_>>();
+        state.rank(now, ask, candidates)
+    }
+
+    fn retry(&self, state: &mut State, failed: &Target, account: &Account) -> Result<()> {
+        let now = self.context.timer().now();
+        state.router.suspect(now, failed, SUSPECTED_FOR);
+        if state.budget.withdraw(now, failed, account) {
+            return Ok(());
+        }
+        let detail = format!("an attempt at {failed} failed and too many others did");
+        Err(Error::unavailable(detail, RETRY_AFTER))
+    }
+
+    fn choice(&self, target: &Target, item: &Item, work: Work) -> Choice {
+        Choice {
+            target: target.clone(),
             address: item.address,
-            outstanding: Rc::clone(&self.outstanding),
-        })
+            context: Rc::clone(&self.context),
+            work,
+        }
     }
 }
 
-fn no_engine(query: &Query<'_>) -> Error {
-    let detail = format!("no engine of {} {} is left", query.model, query.version);
-    Error::unavailable(detail, RETRY_AFTER)
+impl Choice {
+    /// Records tokens that the engine has produced. Returns false when the answer has grown beyond the room of the
+    /// engine, so that the attempt had better move to another one.
+    pub fn produced(&mut self, tokens: u32) -> bool {
+        let now = self.context.timer().now();
+        let Work::Generation {
+            charge,
+            blocks,
+            uncached,
+            first_token,
+            length,
+            ..
+        } = &mut self.work
+        else {
+            return true;
+        };
+        *length += u64::from(tokens);
+        if !std::mem::replace(first_token, true) {
+            let limits = self.context.part::<Limits>();
+            let mut state = limits.state();
+            state.router.first_token(&self.target, *uncached);
+            state.index.expect(now, &self.target, blocks);
+        }
+        charge.produce(u64::from(tokens));
+        charge.rest() >= GROWTH / 2 || charge.grow(now, GROWTH).is_ok()
+    }
+
+    /// Records that the answer is whole; its length tells what to expect of later ones.
+    pub fn finished(&self) {
+        if let Work::Generation {
+            account, model, length, ..
+        } = &self.work
+        {
+            let limits = self.context.part::<Limits>();
+            limits.state().lengths.observe(account, model, *length);
+        }
+    }
+
+    /// Records that the target refuses work because it is leaving.
+    pub fn refused_as_leaving(&self) {
+        let leaving = self.context.part::<Leaving>();
+        leaving.note(&self.target, Source::Target, true);
+    }
 }
 
 impl Drop for Choice {
     fn drop(&mut self) {
-        let mut outstanding = self.outstanding.borrow_mut();
-        if let Some(count) = outstanding.get_mut(&self.target) {
-            *count -= 1;
+        match &self.work {
+            Work::Generation {
+                uncached, first_token, ..
+            } => {
+                let limits = self.context.part::<Limits>();
+                let mut state = limits.state();
+                if !first_token {
+                    state.router.abandoned(&self.target, *uncached);
+                }
+                state.router.ended(&self.target);
+            }
+            Work::Call(calls) => {
+                if let Some(count) = calls.borrow_mut().get_mut(&self.target) {
+                    *count -= 1;
+                }
+            }
+        }
+    }
+}
+
+/// Keeps the refusal that a caller can act on soonest.
+fn shorter(first: Option<Refusal>, second: Refusal) -> Refusal {
+    match first {
+        Some(first) if first.retry_after <= second.retry_after => first,
+        Some(_) | None => second,
+    }
+}
+
+fn refused(query: &Query<'_>, refusal: Option<Refusal>) -> Error {
+    let (model, version) = (query.model, query.version);
+    let Some(refusal) = refusal else {
+        return Error::unavailable(format!("no engine of {model} {version} is left"), RETRY_AFTER);
+    };
+    match refusal.cause {
+        Cause::Account => {
+            let detail = format!("account {} uses its share of {model}", query.account);
+            Error::limited(detail, refusal.retry_after)
+        }
+        Cause::Target => {
+            let detail = format!("all engines of {model} {version} are full");
+            Error::unavailable(detail, refusal.retry_after)
+        }
+        Cause::TooLarge => {
+            let detail = format!("prompt and answer are larger than this entry's room at any engine of {model}");
+            Error::unavailable(detail, refusal.retry_after)
         }
     }
 }
@@ -124,20 +326,9 @@
 
 #[expect(clippy::unnecessary_wraps, reason = "the signature of all plug-ins")]
 fn start(context: &Rc<Context>) -> Result<()> {
-    let outstanding = Rc::<RefCell<HashMap<Target, usize>>>::default();
-    let dumped = Rc::clone(&outstanding);
-    context.on_dump("routing", move || {
-        let counts = dumped.borrow();
-        json!(
-            counts
-                .iter()
-                .map(|(name, count)| (name.to_string(), *count))
-                .collect::<HashMap<_, _>>()
-        )
-    });
     context.provide(Rc::new(Routing {
         context: Rc::clone(context),
-        outstanding,
+        calls: Rc::default(),
     }));
     Ok(())
 }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use hawthornpost_core::id::{DataCentre, Entry, Region};
+use hawthornpost_core::limit::Timing;
 use hawthornpost_core::settings::{File, Section};
 
 use crate::error::{Kind, Result};
@@ -25,6 +26,8 @@
     pub log: LogSettings,
     /// Bounds and time limits.
     pub limits: LimitSettings,
+    /// How the room of targets is divided.
+    pub room: RoomSettings,
 }
 
 /// Section `[entry]`.
@@ -124,6 +127,15 @@
     pub action_retention: Duration,
 }
 
+/// Section `[room]`.
+#[derive(Clone, Copy, Debug)]
+pub struct RoomSettings {
+    /// The times and bounds of the division.
+    pub timing: Timing,
+    /// The number of entry hosts that share a target in a large deployment.
+    pub sharers: usize,
+}
+
 /// A secret that is never printed.
 #[derive(Clone, PartialEq, Eq)]
 pub struct Secret(String);
@@ -198,8 +210,9 @@
             operators: operators(file.section("operators")?)?,
             log: log_settings(file.section("log").ok())?,
             limits: limits(file.section("limits").ok())?,
+            room: room(file.section("room").ok())?,
         };
-        let known = ["entry", "platform", "peers", "operators", "log", "limits"];
+        let known = ["entry", "platform", "peers", "operators", "log", "limits", "room"];
         for section in file.sections() {
             if !known.contains(&section.name()) {
                 let remedy = format!("use one of: {}", known.join(", "));
@@ -310,6 +323,30 @@
     Ok(settings)
 }
 
+fn room(section: Option<Section<'_>>) -> Result<RoomSettings> {
+    let empty = File::parse("[room]\n")?;
+    let mut section = match section {
+        Some(section) => section,
+        None => empty.section("room")?,
+    };
+    let default = Timing::default();
+    let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+    let thousandths = |value: u64| u32::try_from(value).unwrap_or(u32::MAX);
+    let times = 0..=3_600_000;
+    let timing = Timing {
+        spread: section.millis("spread_ms", millis(default.spread), times.clone())?,
+        settle: section.millis("settle_ms", millis(default.settle), times.clone())?,
+        rise: section.millis("rise_ms", millis(default.rise), times.clone())?,
+        hold: section.millis("hold_ms", millis(default.hold), times)?,
+        headroom: thousandths(section.number("headroom_thousandths", default.headroom.into(), 0..=900)?),
+        overbook: thousandths(section.number("overbook_thousandths", default.overbook.into(), 1000..=5000)?),
+        ..default
+    };
+    let sharers = bytes(&mut section, "sharers", 12)?;
+    section.finish()?;
+    Ok(RoomSettings { timing, sharers })
+}
+
 fn bytes<'a>(section: &mut Section<'a>, key: &'a str, default: u64) -> Result<usize> {
     let value = section.number(key, default, 1..=1 << 32)?;
     Ok(usize::try_from(value).unwrap_or(usize::MAX))
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -107,11 +107,15 @@
 
 /// Starts a platform that holds a configuration.
 pub fn platform(network: Network, document: &Value) -> Handle {
-    let settings = platform::Settings {
+    platform::start(network.platform(), platform_settings(document)).expect("the platform starts")
+}
+
+/// Returns the settings of a platform that holds a configuration.
+pub fn platform_settings(document: &Value) -> platform::Settings {
+    platform::Settings {
         objects: objects(document),
         ..platform::Settings::default()
-    };
-    platform::start(network.platform(), settings).expect("the platform starts")
+    }
 }
 
 /// Builds the objects of a configuration: its chunks and the head.
@@ -216,9 +220,14 @@
     /// Starts the entry host with this index; `peers` is the number of entry hosts of the deployment and `extra` is
     /// added to the settings.
     pub fn start(network: Network, index: u8, peers: u8, extra: &str) -> Self {
+        Self::start_with(network, index, &settings(network, index, peers, extra))
+    }
+
+    /// Starts the entry host with this index and whole settings.
+    pub fn start_with(network: Network, index: u8, settings: &str) -> Self {
         let directory = tempfile::tempdir().expect("a directory");
         let path = directory.path().join("hawthornpostd.ini");
-        std::fs::write(&path, settings(network, index, peers, extra)).expect("the settings are written");
+        std::fs::write(&path, settings).expect("the settings are written");
         let child = Command::new(env!("CARGO_BIN_EXE_hawthornpostd"))
             .arg("--config")
             .arg(&path)
@@ -290,7 +299,8 @@
     }
 }
 
-fn settings(network: Network, index: u8, peers: u8, extra: &str) -> String {
+/// Returns the settings of an entry host.
+pub fn settings(network: Network, index: u8, peers: u8, extra: &str) -> String {
     let seeds = (0..peers)
         .filter(|peer| *peer != index)
         .map(|peer| network.peer(peer).to_string());
@@ -299,6 +309,7 @@
          [platform]\naddress = {}\npoll_ms = 200\n\
          [peers]\nlisten = {}\nseeds = {}\nkey = {PEER_KEY}\n\
          [operators]\nkey_hashes = {}\n\
+         [room]\nspread_ms = 100\nsettle_ms = 300\nrise_ms = 300\n\
          [log]\nlevel = warn\n{extra}",
         index % 3,
         network.entry(index),
