--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -13,8 +13,13 @@
 const RATIO: f64 = 0.1;
 /// Retries per second that are allowed without first tries, so that a quiet account is not left without any.
 const TRICKLE: f64 = 0.1;
-/// The largest number of retries that can be saved up.
+/// The largest number of retries that first tries and time can save up.
 const MAX_SAVED: f64 = 10.0;
+/// The tokens that pay for one retry. A generation that is lost after this many has paid for its own resume, so that the
+/// loss of an engine with many long generations does not exhaust the budget.
+const TOKENS_PER_RETRY: f64 = 256.0;
+/// The largest number of retries that tokens can save up; an engine serves fewer requests at once.
+const MAX_EARNED: f64 = 512.0;
 /// How long an unused balance is remembered; by then the trickle has filled it up.
 const REMEMBERED: Duration = Duration::from_secs(100);
 
@@ -40,6 +45,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Balance {
     saved: f64,
+    earned: f64,
     at: Instant,
 }
 
@@ -51,16 +57,23 @@
         Balance::of(&mut self.accounts, account, now).add(RATIO);
     }
 
+    /// Records tokens that a target produced for an account.
+    pub fn earn(&mut self, now: Instant, target: &Target, account: &Account, tokens: u32) {
+        let retries = f64::from(tokens) / TOKENS_PER_RETRY;
+        Balance::of(&mut self.targets, target, now).earn(retries);
+        Balance::of(&mut self.accounts, account, now).earn(retries);
+    }
+
     /// Returns whether a request may be tried again after it failed at this target, and charges the retry.
     #[must_use = "a retry that is not allowed has to be answered with an error"]
     pub fn withdraw(&mut self, now: Instant, failed: &Target, account: &Account) -> bool {
         self.sweep(now);
         let target = Balance::of(&mut self.targets, failed, now);
         let account = Balance::of(&mut self.accounts, account, now);
-        let allowed = target.saved >= 1.0 && account.saved >= 1.0;
+        let allowed = target.total() >= 1.0 && account.total() >= 1.0;
         if allowed {
-            target.saved -= 1.0;
-            account.saved -= 1.0;
+            target.spend();
+            account.spend();
         }
         allowed
     }
@@ -89,6 +102,7 @@
     fn of<'a, K: Clone + Ord>(balances: &'a mut BTreeMap<K, Self>, key: &K, now: Instant) -> &'a mut Self {
         let full = Self {
             saved: MAX_SAVED,
+            earned: 0.0,
             at: now,
         };
         let balance = balances.entry(key.clone()).or_insert(full);
@@ -100,4 +114,18 @@
     fn add(&mut self, retries: f64) {
         self.saved = (self.saved + retries).min(MAX_SAVED);
     }
+
+    fn earn(&mut self, retries: f64) {
+        self.earned = (self.earned + retries).min(MAX_EARNED);
+    }
+
+    fn total(&self) -> f64 {
+        self.saved + self.earned
+    }
+
+    fn spend(&mut self) {
+        let earned = self.earned.min(1.0);
+        self.earned -= earned;
+        self.saved -= 1.0 - earned;
+    }
 }
--- a/crates/daemon/src/completions.rs
+++ b/crates/daemon/src/completions.rs
@@ -75,7 +75,7 @@
     let streamed = completion.stream;
     let request = prepare(&context, account, completion)?;
     let generations = context.part::<Generations>();
-    let running = generations.start(request);
+    let running = generations.start(request)?;
     let reader = Reader::new(&generations, &running, 0)?;
     let work = context.begin_work();
     let response = if streamed {
--- a/crates/daemon/src/generations.rs
+++ b/crates/daemon/src/generations.rs
@@ -21,6 +21,7 @@
 use crate::generations_running::Running;
 use crate::kernel::{Context, Phase};
 use crate::plugin::{PLUGINS, Plugin, Stage};
+use crate::routing::{Choice, Query, Routing};
 
 /// The time after which a generation that is not complete is given up.
 const DEADLINE: Duration = Duration::from_secs(3600);
@@ -66,8 +67,13 @@
         }
     }
 
-    /// Starts a generation.
-    pub(crate) fn start(self: &Rc<Self>, request: generation::Request) -> Rc<Running> {
+    /// Starts a generation once an engine has room for it.
+    ///
+    /// # Errors
+    ///
+    /// Fails with a time to retry when no engine has room or the account's share is used.
+    pub(crate) fn start(self: &Rc<Self>, request: generation::Request) -> Result<Rc<Running>> {
+        let admitted = self.admit(&request)?;
         let request = generation::Request {
             remaining: DEADLINE,
             ..request
@@ -75,7 +81,23 @@
         let (id, account, now) = (request.id, request.account.clone(), self.now());
         let backlog = self.ledger.open(account.clone(), now);
         let machine = Machine::new(now, self.settings, request, backlog);
-        self.run(id, account, machine)
+        Ok(self.run(Running::new(id, account, machine, Some(admitted))))
+    }
+
+    /// Chooses the engine of the first attempt, so that a refusal has a status of its own.
+    fn admit(&self, request: &generation::Request) -> Result<Choice> {
+        let completion = &request.completion;
+        self.context.part::<Routing>().engine(&Query {
+            account: &request.account,
+            model: &completion.model,
+            version: &request.version,
+            prompt: &completion.prompt,
+            resumed_tokens: 0,
+            max_tokens: request.max_tokens,
+            priority: completion.priority.unwrap_or(0),
+            tried: &[],
+            failed: None,
+        })
     }
 
     /// Connects a caller to its generation: here if it runs here, otherwise by taking it over from a copy.
@@ -101,7 +123,7 @@
         if let Some(replaced) = self.find(&handle.request, account) {
             self.feed(&replaced, Event::Cancel);
         }
-        Ok(self.run(id, account.clone(), machine))
+        Ok(self.run(Running::new(id, account.clone(), machine, None)))
     }
 
     /// Returns the generation of an account that runs here.
@@ -156,9 +178,9 @@
         }
     }
 
-    fn run(self: &Rc<Self>, request: Request, account: Account, machine: Machine) -> Rc<Running> {
-        let key = machine.backlog().key();
-        let running = Rc::new(Running::new(request, account, machine));
+    fn run(self: &Rc<Self>, running: Running) -> Rc<Running> {
+        let (request, key) = (running.request, running.machine().backlog().key());
+        let running = Rc::new(running);
         self.by_backlog.borrow_mut().insert(key, request);
         self.running.borrow_mut().insert(request, Rc::clone(&running));
         tokio::task::spawn_local(Rc::clone(&running).keep_time(Rc::clone(self)));
--- a/crates/daemon/src/generations_attempt.rs
+++ b/crates/daemon/src/generations_attempt.rs
@@ -116,7 +116,7 @@
             }
             match stream.next().await? {
                 Some(engine::Event::Frame(frame)) => {
-                    self.running.note_frame(&self.generations);
+                    self.running.note_frame(&self.generations, &frame);
                     self.feed(Event::Frame(frame));
                     self.generations.relieve();
                 }
--- a/crates/daemon/src/generations_running.rs
+++ b/crates/daemon/src/generations_running.rs
@@ -8,13 +8,13 @@
 use hawthornpost_core::clock::Instant;
 use hawthornpost_core::generation::{Command, Event, Machine, Outcome};
 use hawthornpost_core::id::{Account, Attempt, Branch, Request, Target};
-use hawthornpost_core::wire::Generate;
+use hawthornpost_core::wire::{Frame, Generate};
 use serde_json::{Value, json};
 use tokio::sync::Notify;
 
 use crate::configuration::Current;
 use crate::engine;
-use crate::error::Result;
+use crate::error::{Error, Result};
 use crate::event;
 use crate::generations::{Generations, Slot};
 use crate::generations_attempt::{Connection, Start};
@@ -23,8 +23,8 @@
 
 /// The time after which a target is looked for again.
 const TARGET_RETRY: Duration = Duration::from_millis(200);
-/// The time after which a generation fails that finds no target; callers wait a few seconds at most.
-const TARGET_LIMIT: Duration = Duration::from_secs(10);
+/// The time after which a generation fails that finds no target; after a loss the output has to go on within 5 s.
+const TARGET_LIMIT: Duration = Duration::from_secs(5);
 /// The time limit of a cancellation at an engine.
 const CANCEL_LIMIT: Duration = Duration::from_secs(2);
 
@@ -38,6 +38,8 @@
     pub(crate) reader: Cell<u64>,
     machine: RefCell<Machine>,
     connection: Slot,
+    /// The engine that was chosen before the generation began.
+    admitted: Cell<Option<Choice>>,
     choice: RefCell<Option<Choice>>,
     /// Since when no target is found.
     lacking: Cell<Option<Instant>>,
@@ -51,7 +53,7 @@
 }
 
 impl Running {
-    pub(crate) fn new(request: Request, account: Account, machine: Machine) -> Self {
+    pub(crate) fn new(request: Request, account: Account, machine: Machine, admitted: Option<Choice>) -> Self {
         Self {
             request,
             account,
@@ -59,6 +61,7 @@
             reader: Cell::new(0),
             machine: RefCell::new(machine),
             connection: RefCell::default(),
+            admitted: Cell::new(admitted),
             choice: RefCell::default(),
             lacking: Cell::new(None),
             opened: Cell::new(None),
@@ -130,7 +133,7 @@
             Command::Release { finish, .. } => {
                 self.lacking.set(None);
                 if finish.is_some() {
-                    self.observe(generations, Observation::Finished);
+                    self.note_finished(generations);
                 }
                 self.released.notify_one();
             }
@@ -144,10 +147,13 @@
 
     fn choose_target(self: &Rc<Self>, generations: &Rc<Generations>, failed: &[Target]) {
         let now = generations.now();
-        let choice = self.query(generations, failed);
+        let last = failed.last();
+        let choice = self.admitted.take().or_else(|| self.query(generations, failed, last));
         // After all engines failed, the generation tries them again, because they may be back.
-        let retrying = self.lacking.get().is_some();
-        let choice = choice.or_else(|| self.query(generations, &[]).filter(|_| retrying));
+        let choice = match choice {
+            None if self.lacking.get().is_some() => self.query(generations, &[], last),
+            choice => choice,
+        };
         let event = if let Some(choice) = choice {
             let target = choice.target.clone();
             let silence = generations.silence(&target);
@@ -165,7 +171,7 @@
         self.feed(generations, event);
     }
 
-    fn query(&self, generations: &Generations, tried: &[Target]) -> Option<Choice> {
+    fn query(&self, generations: &Generations, tried: &[Target], failed: Option<&Target>) -> Option<Choice> {
         let machine = self.machine();
         let completion = machine.completion();
         let query = Query {
@@ -177,6 +183,7 @@
             max_tokens: completion.max_tokens.unwrap_or(u32::MAX),
             priority: completion.priority.unwrap_or(0),
             tried,
+            failed,
         };
         generations.context.part::<Routing>().engine(&query).ok()
     }
@@ -281,15 +288,31 @@
         }
     }
 
-    /// Notes the first token of an attempt.
-    pub(crate) fn note_frame(&self, generations: &Generations) {
+    /// Notes tokens of an attempt.
+    pub(crate) fn note_frame(&self, generations: &Generations, frame: &Frame) {
+        let tokens = u32::try_from(frame.tokens.len()).unwrap_or(u32::MAX);
+        if let Some(choice) = self.choice.borrow_mut().as_mut()
+            && !choice.produced(tokens)
+        {
+            log::debug!("{} has no room for the rest of an answer", choice.target);
+        }
         if let Some(opened) = self.opened.take() {
             self.observe(generations, Observation::FirstToken(generations.now() - opened));
         }
     }
 
-    /// Tells operators and rollouts that the connection of an attempt failed.
-    pub(crate) fn note_closed(&self, generations: &Generations, error: &dyn fmt::Display, observation: Observation) {
+    fn note_finished(&self, generations: &Generations) {
+        self.observe(generations, Observation::Finished);
+        if let Some(choice) = self.choice.borrow().as_ref() {
+            choice.finished();
+        }
+    }
+
+    /// Tells operators, routing and rollouts that the connection of an attempt failed.
+    pub(crate) fn note_closed(&self, generations: &Generations, error: &Error, observation: Observation) {
+        if let Some(choice) = self.choice.borrow().as_ref().filter(|_| error.is_leaving()) {
+            choice.refused_as_leaving();
+        }
         let target = self.machine().target().cloned();
         if let Some(target) = target {
             self.note_failure(generations, &target, error, observation);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -15,6 +15,8 @@
 //! | [`generations`] | running generations and their copies |
 //! | [`http`] | server for callers and operators |
 //! | [`kernel`] | the loop, the context and the phases of a run |
+//! | [`leaving`] | targets that are leaving |
+//! | [`limits`] | room, load and caches of targets |
 //! | [`logging`] | log output |
 //! | [`members`] | live entry hosts |
 //! | [`metric`] | names and page of the metrics |
@@ -49,6 +51,8 @@
 mod generations_running;
 pub mod http;
 pub mod kernel;
+pub mod leaving;
+pub mod limits;
 pub mod logging;
 pub mod members;
 pub mod metric;
