--- a/crates/core/src/prefix.rs
+++ b/crates/core/src/prefix.rs
@@ -13,6 +13,9 @@
 
 /// The bytes of prompt text in one block; about 16 tokens.
 pub const BLOCK_BYTES: usize = 64;
+/// Gaps within this time count as one. A stale block costs less than the loss of all others, so that a target that
+/// often loses events is not forgotten all the time.
+const GAP_INTERVAL: Duration = Duration::from_secs(30);
 /// The longest prefix that is followed, in blocks, so that a long prompt does not cost more than its routing is worth.
 const MAX_BLOCKS: usize = 1024;
 
@@ -101,6 +104,8 @@
     young: HashSet<Block>,
     old: HashSet<Block>,
     turned: Instant,
+    /// When a gap last made the blocks doubtful.
+    doubted: Option<Instant>,
 }
 
 impl Index {
@@ -121,7 +126,7 @@
         let cache = self.cache(now, target);
         match cache.next {
             Some(next) if event.sequence < next => return cache.observe_late(event),
-            Some(next) if event.sequence > next => cache.turn(now),
+            Some(next) if event.sequence > next => cache.doubt(now),
             Some(_) | None => {}
         }
         cache.next = Some(event.sequence + 1);
@@ -217,6 +222,14 @@
         self.turned = now;
     }
 
+    /// Makes all blocks old after a gap.
+    fn doubt(&mut self, now: Instant) {
+        if self.doubted.is_none_or(|doubted| now.since(doubted) >= GAP_INTERVAL) {
+            self.doubted = Some(now);
+            self.turn(now);
+        }
+    }
+
     fn holds(&self, block: Block) -> bool {
         self.young.contains(&block) || self.old.contains(&block)
     }
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -27,7 +27,8 @@
     pub per_prompt_token: Duration,
     /// What a target that is full by its load report adds; less load adds less, by the square.
     pub per_full_load: Duration,
-    /// What a request that waits at the target adds.
+    /// What a request that waits at the target adds. It is less than the time of a prompt, because the report is older
+    /// than the queue, and entries with the same report would all turn to the same target.
     pub per_waiting: Duration,
     /// What a target adds that is suspected to have failed.
     pub suspected: Duration,
@@ -43,7 +44,7 @@
         Self {
             per_prompt_token: Duration::from_micros(100),
             per_full_load: Duration::from_millis(400),
-            per_waiting: Duration::from_millis(100),
+            per_waiting: Duration::from_millis(20),
             suspected: Duration::from_secs(10),
             report_age: Duration::from_secs(3),
             tolerance: 0.1,
--- a/crates/core/src/route_subset.rs
+++ b/crates/core/src/route_subset.rs
@@ -33,7 +33,7 @@
     /// Returns the entries that share each target.
     ///
     /// With at most `sharers` entries, all share every target.
-    pub fn assign<'a>(self, targets: &[&'a Target], entries: &[&'a Entry]) -> BTreeMap<&'a Target, Vec<&'a Entry>> {
+    pub fn assign<'t, 'e>(self, targets: &[&'t Target], entries: &[&'e Entry]) -> BTreeMap<&'t Target, Vec<&'e Entry>> {
         if entries.len() <= self.sharers {
             return targets.iter().map(|target| (*target, entries.to_vec())).collect();
         }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -25,5 +25,6 @@
 mod resume_baseline;
 mod resume_run;
 mod rollouts;
+mod routing;
 
 pub use experiment::{EXPERIMENTS, Experiment};
