--- a/crates/core/src/route_subset.rs
+++ b/crates/core/src/route_subset.rs
@@ -7,8 +7,8 @@
 /// The subset of targets that each entry talks to.
 ///
 /// Every target is shared by the `sharers` entries that rendezvous hashing ranks highest for it. Entries that are more
-/// than one target behind the mean go first, and those that are ahead of it last, because plain rendezvous hashing
-/// leaves some entries with few targets of a model. Every entry computes the same assignment from the same view.
+/// than one target behind the mean go first, and those that are ahead of it last, because rendezvous hashing alone
+/// does not keep the numbers even. Every entry computes the same assignment from the same view.
 #[derive(Clone, Copy, Debug)]
 pub struct Subset {
     /// The number of entries that share a target.
