--- a/crates/daemon/src/client.rs
+++ b/crates/daemon/src/client.rs
@@ -22,6 +22,9 @@
 /// The largest part of an error body that goes into a message.
 const MAX_DETAIL_BYTES: usize = 300;
 
+/// The bytes of the read buffer. A stream of an engine has one for minutes; response heads have to fit into it.
+const READ_BUFFER_BYTES: usize = 4 << 10;
+
 /// Builds a request without a body.
 pub fn request(method: Method, path: impl AsRef<str>) -> Request<Full<Bytes>> {
     with_body(method, path, Bytes::new())
@@ -61,7 +64,10 @@
     address: SocketAddr,
     mut request: Request<Full<Bytes>>,
 ) -> Result<Response<Incoming>> {
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let handshake = http1::Builder::new()
+        .read_buf_exact_size(Some(READ_BUFFER_BYTES))
+        .handshake(TokioIo::new(stream))
+        .await;
     let (mut sender, connection) = handshake.map_err(|source| Kind::Transport { address, source })?;
     tokio::task::spawn_local(async move {
         if let Err(error) = connection.await {
--- a/crates/daemon/tests/generations.rs
+++ b/crates/daemon/tests/generations.rs
@@ -260,3 +260,28 @@
         assert!(peak <= BOUND, "{peak} bytes were held");
     });
 }
+
+/// Guards against a planned stop that cuts a long answer off (H8).
+#[test]
+fn a_leaving_entry_hands_its_answers_over() {
+    support::run(async {
+        let limits = "[limits]\naddress_lifetime_ms = 100\ndrain_limit_ms = 0\n";
+        let mut deployment = Deployment::start(2, 3, limits).await;
+        let mut caller = deployment.call(0).await;
+        caller.read_tokens(10).await;
+        deployment.entries[0].terminate();
+        caller.read_all().await;
+        assert!(!caller.done && caller.error.is_none(), "{:?}", caller.error);
+        let resumed = caller.resume(deployment.entries[1].address, ACCOUNT_KEY).await;
+        assert_eq!(resumed, StatusCode::OK);
+        caller.read_all().await;
+        check(&caller);
+        let mut ended = None;
+        support::wait_for("the entry to end", async || {
+            ended = deployment.entries[0].ended();
+            ended.is_some()
+        })
+        .await;
+        assert_eq!(ended, Some(true));
+    });
+}
