--- a/crates/lab/src/deployment_fleet.rs
+++ b/crates/lab/src/deployment_fleet.rs
@@ -69,6 +69,9 @@
                 Role::Service { .. } => fleet.services.push((name.to_string(), handle)),
             }
         }
+        if let Some(logs) = &plan.logs {
+            std::fs::create_dir_all(logs).map_err(failed)?;
+        }
         for file in &files.entries {
             let logs = plan.logs.as_deref().unwrap_or(fleet.directory.path());
             let settings = fleet.directory.path().join(format!("{}.ini", file.name));
--- a/crates/lab/tests/deployment.rs
+++ b/crates/lab/tests/deployment.rs
@@ -8,6 +8,8 @@
 use hawthornpost_lab::experiment::Options;
 
 /// Returns the daemon's program, which a test run of the workspace builds beside the directory of the test programs.
+///
+/// A test run of this package alone does not build it and takes the one of the last build.
 fn daemon() -> Option<PathBuf> {
     let program = std::env::current_exe().expect("a path");
     let daemon = program.parent()?.parent()?.join("hawthornpostd");
