--- a/crates/lab/src/deployment_generation.rs
+++ b/crates/lab/src/deployment_generation.rs
@@ -243,8 +243,8 @@
         let status = answer.status.as_u16();
         let code = answer.code().to_owned();
         let detail = reason_of(answer.body["detail"].as_str().unwrap_or_default());
-        self.log(address, &format!("{status} {code}: {detail}"));
         let reason = format!("{status} {code}: {detail}");
+        self.log(address, &format!("{reason}, Retry-After {:?}", answer.retry_after));
         match answer.retry_after {
             Some(wait) if self.progress.elapsed() + wait < GIVE_UP => {
                 self.client.avoid(address);
