Pause between attempts when every engine has failed

Cause: once no engine was left, a generation asked the engines that had failed again, and one that answered 500 at once was asked without a pause; only the retry budget ended the loop. Ruled out: a longer list of excluded engines, because a deployment with one engine would never resume.

Engines that failed are now asked again once in 200 ms.

--- a/crates/daemon/src/generations_running.rs
+++ b/crates/daemon/src/generations_running.rs
@@ -43,6 +43,8 @@
     choice: RefCell<Option<Choice>>,
     /// Since when no target is found.
     lacking: Cell<Option<Instant>>,
+    /// When engines that had failed were last asked again.
+    asked_again: Cell<Option<Instant>>,
     /// When the current attempt was opened, until its first token.
     opened: Cell<Option<Instant>>,
     /// Whether the failure of the current attempt was reported.
@@ -67,6 +69,7 @@
             admitted: Cell::new(admitted),
             choice: RefCell::default(),
             lacking: Cell::new(None),
+            asked_again: Cell::new(None),
             opened: Cell::new(None),
             reported: Cell::new(false),
             counted: Cell::new(false),
@@ -153,11 +156,7 @@
         let now = generations.now();
         let last = failed.last();
         let choice = self.admitted.take().or_else(|| self.query(generations, failed, last));
-        // After all engines failed, the generation tries them again, because they may be back.
-        let choice = match choice {
-            None if self.lacking.get().is_some() => self.query(generations, &[], last),
-            choice => choice,
-        };
+        let choice = choice.or_else(|| self.query_again(generations, last));
         let event = if let Some(choice) = choice {
             let target = choice.target.clone();
             let silence = generations.silence(&target);
@@ -192,6 +191,19 @@
         generations.context.part::<Routing>().engine(&query).ok()
     }
 
+    /// Chooses among the engines that failed already, because they may be back. Engines that answer with errors at once
+    /// would be asked in a tight loop, so that this happens once in [`TARGET_RETRY`].
+    fn query_again(&self, generations: &Generations, failed: Option<&Target>) -> Option<Choice> {
+        let now = generations.now();
+        let since = self.lacking.get()?;
+        let last = self.asked_again.get().unwrap_or(since);
+        if now - last < TARGET_RETRY {
+            return None;
+        }
+        self.asked_again.set(Some(now));
+        self.query(generations, &[], failed)
+    }
+
     fn has_targets(&self, generations: &Generations) -> bool {
         let document = generations.context.part::<Current>().document();
         let machine = self.machine();
--- a/crates/daemon/tests/routing.rs
+++ b/crates/daemon/tests/routing.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures_util::future::join_all;
@@ -137,6 +137,25 @@
     });
 }
 
+/// Guards against a tight loop of attempts at the only engine, which answers with errors at once.
+#[test]
+fn failed_engines_are_asked_again_after_a_pause() {
+    support::run(async {
+        let network = Network::new();
+        let _platform = support::platform(network, &support::document(network, 1, 1));
+        let engine = support::engine(network, 0, "v1", 5, QUICK);
+        let daemon = Daemon::start(network, 0, 1, "");
+        daemon.ready().await;
+        let fault = json!({ "fail": { "share": 1.0, "count": 4, "method": "POST" } });
+        engine.set_faults(&fault).expect("the fault is set");
+        let begin = Instant::now();
+        assert_eq!(generate(&daemon, "letter").await, StatusCode::OK);
+        assert_eq!(counter(&engine, "started"), 1);
+        // Four failures make four pauses of 200 ms; a busy machine only makes them longer.
+        assert!(begin.elapsed() >= Duration::from_millis(800), "{:?}", begin.elapsed());
+    });
+}
+
 /// Guards against a drain that cuts off a long answer, or that sends new callers to the entry host.
 #[test]
 fn drain_does_not_cut_a_stream() {
