Learn the silence limit during an attempt and repeat lookups elsewhere

Cause: the silence limit is 2 s until 100 gaps of that very engine are known, and it was fixed when the attempt opened. While few gaps of an engine are known, the gaps of all engines now count, and a running attempt gets the shorter limit as soon as it is known.

A lookup is now sent to up to three instances, each with half of the time that is left. Ruled out: doing the same for actions, which may not be repeated.

--- a/crates/core/src/generation.rs
+++ b/crates/core/src/generation.rs
@@ -25,6 +25,8 @@
         /// How long the target may be silent between tokens.
         silence: Duration,
     },
+    /// How long the current target may be silent is known better than when it was chosen.
+    Silence(Duration),
     /// There is no target at present.
     NoTarget {
         /// When to ask again; without it the generation fails, because no target of the version is left.
--- a/crates/core/src/generation_machine.rs
+++ b/crates/core/src/generation_machine.rs
@@ -240,6 +240,7 @@
         match event {
             Event::Begin => self.begin(now, out),
             Event::Chosen { target, silence } => self.open(now, target, silence, out),
+            Event::Silence(silence) => self.source.set_silence(silence),
             Event::NoTarget { retry } => self.source.lack(now, retry, out),
             Event::Accepted { attempt } => self.source.accepted(now, attempt),
             Event::Frame(frame) => self.frame(now, &frame, out),
--- a/crates/core/src/generation_source.rs
+++ b/crates/core/src/generation_source.rs
@@ -112,6 +112,10 @@
         out.push(Command::Open { target, attempt });
     }
 
+    pub(crate) fn set_silence(&mut self, silence: Duration) {
+        self.silence = silence;
+    }
+
     pub(crate) fn lack(&mut self, now: Instant, retry: Option<Duration>, out: &mut Vec<Command>) {
         if self.phase != Phase::Asking {
             return;
--- a/crates/core/tests/generation.rs
+++ b/crates/core/tests/generation.rs
@@ -266,6 +266,17 @@
     commands.iter().filter_map(upto).collect()
 }
 
+// Guards against an attempt that keeps the cautious limit it was opened with, while an engine's gaps are known by now.
+#[test]
+fn a_shorter_silence_limit_applies_to_the_running_attempt() {
+    let mut machine = running();
+    machine.handle(at(10), Event::Frame(frame(0, 0, &[1])));
+    machine.handle(at(11), stored(3, 1));
+    assert_eq!(machine.deadline(), Some(at(10) + SILENCE));
+    machine.handle(at(12), Event::Silence(Duration::from_millis(250)));
+    assert_eq!(machine.deadline(), Some(at(260)));
+}
+
 // Guards against a caller that has tokens which die with this entry.
 #[test]
 fn tokens_are_released_after_the_acknowledgement_only() {
--- a/crates/daemon/src/generations.rs
+++ b/crates/daemon/src/generations.rs
@@ -40,6 +40,7 @@
     running: RefCell<HashMap<Request, Rc<Running>>>,
     by_backlog: RefCell<HashMap<backlog::Key, Request>>,
     gaps: RefCell<HashMap<Target, Gaps>>,
+    all_gaps: RefCell<Gaps>,
     /// The pause of the process that the machines know of.
     known_pause: Cell<Option<Instant>>,
     ended: RefCell<HashMap<Outcome, u64>>,
@@ -52,14 +53,16 @@
         self.context.timer().now()
     }
 
-    /// Returns how long a target may be silent.
-    pub(crate) fn silence(&self, target: &Target) -> Duration {
-        let gaps = self.gaps.borrow();
-        gaps.get(target).map_or_else(|| Gaps::new().silence(), Gaps::silence)
+    /// Returns how long a target may be silent, if enough gaps are known. While few are known of the target itself, the
+    /// gaps of all targets count; a false alarm costs one attach.
+    pub(crate) fn silence(&self, target: &Target) -> Option<Duration> {
+        let own = self.gaps.borrow().get(target).and_then(known_silence);
+        own.or_else(|| known_silence(&self.all_gaps.borrow()))
     }
 
     /// Records a gap between two frames of a target.
     pub(crate) fn observe(&self, target: &Target, gap: Duration) {
+        self.all_gaps.borrow_mut().record(gap);
         let mut gaps = self.gaps.borrow_mut();
         match gaps.get_mut(target) {
             Some(gaps) => gaps.record(gap),
@@ -284,6 +287,7 @@
         running: RefCell::default(),
         by_backlog: RefCell::default(),
         gaps: RefCell::default(),
+        all_gaps: RefCell::default(),
         known_pause: Cell::new(None),
         ended: RefCell::default(),
         without_replica: Cell::default(),
@@ -295,6 +299,10 @@
     Ok(())
 }
 
+fn known_silence(gaps: &Gaps) -> Option<Duration> {
+    gaps.p99().map(|_| gaps.silence())
+}
+
 /// Hands long streams over once the drain limit has passed.
 async fn leave(generations: Rc<Generations>) {
     let mut phase = generations.context.watch_phase();
--- a/crates/daemon/src/generations_running.rs
+++ b/crates/daemon/src/generations_running.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use hawthornpost_core::clock::Instant;
-use hawthornpost_core::generation::{Command, Event, Machine, Outcome};
+use hawthornpost_core::generation::{Command, Event, Gaps, Machine, Outcome};
 use hawthornpost_core::id::{Account, Attempt, Branch, Request, Target};
 use hawthornpost_core::wire::{Frame, Generate};
 use serde_json::{Value, json};
@@ -41,6 +41,8 @@
     /// The engine that was chosen before the generation began.
     admitted: Cell<Option<Choice>>,
     choice: RefCell<Option<Choice>>,
+    /// Whether the silence limit of the current attempt is from known gaps.
+    silence_is_known: Cell<bool>,
     /// Since when no target is found.
     lacking: Cell<Option<Instant>>,
     /// When engines that had failed were last asked again.
@@ -68,6 +70,7 @@
             connection: RefCell::default(),
             admitted: Cell::new(admitted),
             choice: RefCell::default(),
+            silence_is_known: Cell::new(false),
             lacking: Cell::new(None),
             asked_again: Cell::new(None),
             opened: Cell::new(None),
@@ -147,6 +150,7 @@
             Command::Observe { target, gap } => {
                 generations.observe(&target, gap);
                 self.observe(generations, Observation::Gap(gap));
+                self.learn_silence(generations, &target);
             }
             Command::End(outcome) => self.end(generations, outcome),
         }
@@ -160,6 +164,8 @@
         let event = if let Some(choice) = choice {
             let target = choice.target.clone();
             let silence = generations.silence(&target);
+            self.silence_is_known.set(silence.is_some());
+            let silence = silence.unwrap_or_else(|| Gaps::new().silence());
             *self.choice.borrow_mut() = Some(choice);
             Event::Chosen { target, silence }
         } else {
@@ -174,6 +180,17 @@
         self.feed(generations, event);
     }
 
+    /// Replaces the cautious silence limit of an attempt that was opened before enough gaps were known.
+    fn learn_silence(self: &Rc<Self>, generations: &Rc<Generations>, target: &Target) {
+        if self.silence_is_known.get() {
+            return;
+        }
+        if let Some(silence) = generations.silence(target) {
+            self.silence_is_known.set(true);
+            self.feed(generations, Event::Silence(silence));
+        }
+    }
+
     fn query(&self, generations: &Generations, tried: &[Target], failed: Option<&Target>) -> Option<Choice> {
         let machine = self.machine();
         let completion = machine.completion();
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -23,6 +23,9 @@
 use crate::kernel::Context;
 use crate::routing::Routing;
 
+/// The number of instances that one lookup is sent to. Each gets half of the time that is left.
+const LOOKUP_ATTEMPTS: usize = 3;
+
 #[distributed_slice(ROUTES)]
 static ACTION: Route = Route {
     method: || Method::POST,
@@ -61,8 +64,35 @@
 
 async fn look_up(context: Rc<Context>, call: Call) -> Result<Response<Body>> {
     let (service, limit) = service(&context, &call)?;
-    let request = client::request(Method::GET, path(&call));
-    forward(&context, &service, limit, request).await
+    let path = path(&call);
+    let end = context.timer().now() + limit;
+    let routing = context.part::<Routing>();
+    let mut choice = routing.instance(&service, &[])?;
+    let mut tried = Vec::new();
+    loop {
+        let rest = end - context.timer().now();
+        let request = client::request(Method::GET, &path);
+        let error = match exchange(&context, choice.address, rest / 2, request).await {
+            Ok((head, body)) => return Ok(response(head, body)),
+            Err(error) => error,
+        };
+        log::debug!("a lookup at {} failed: {error}", choice.target);
+        tried.push(choice.target.clone());
+        if tried.len() == LOOKUP_ATTEMPTS {
+            return Err(error);
+        }
+        // A lookup may be repeated; the first error is the answer when no other instance is left.
+        choice = match routing.instance(&service, &tried) {
+            Ok(next) => next,
+            Err(_none_left) => return Err(error),
+        };
+    }
+}
+
+fn response(head: Parts, body: Bytes) -> Response<Body> {
+    let mut response = Response::from_parts(head, full(body));
+    response.headers_mut().remove(TRANSFER_ENCODING);
+    response
 }
 
 /// Returns the path at the target, with the query.
@@ -82,19 +112,6 @@
     Ok((name, Duration::from_millis(rule.timeout_ms)))
 }
 
-async fn forward(
-    context: &Context,
-    service: &Service,
-    limit: Duration,
-    request: Request<Full<Bytes>>,
-) -> Result<Response<Body>> {
-    let choice = context.part::<Routing>().instance(service, &[])?;
-    let (head, body) = exchange(context, choice.address, limit, request).await?;
-    let mut response = Response::from_parts(head, full(body));
-    response.headers_mut().remove(TRANSFER_ENCODING);
-    Ok(response)
-}
-
 /// Calls a target and checks that the answer belongs to this very call.
 pub(crate) async fn exchange(
     context: &Context,
--- a/crates/daemon/tests/path.rs
+++ b/crates/daemon/tests/path.rs
@@ -8,6 +8,7 @@
 use hawthornpost_standins::text;
 use hyper::header::HeaderValue;
 use hyper::{Method, StatusCode};
+use serde_json::json;
 use support::{ACCOUNT_KEY, Caller, Daemon, Network};
 
 /// Guards against a path that loses or repeats tokens, or that does not end an answer.
@@ -51,3 +52,29 @@
         assert_eq!(actions[0]["runs"], 1, "{actions}");
     });
 }
+
+/// Guards against a lookup that fails although another instance of the service could answer it.
+#[test]
+fn a_lookup_is_repeated_at_another_instance() {
+    support::run(async {
+        let network = Network::new();
+        let mut document = support::document(network, 1, 1);
+        let mut second = document["inventory"]["booking-0"].clone();
+        second["address"] = json!(network.service(1));
+        document["inventory"]["booking-1"] = second;
+        let _platform = support::platform(network, &document);
+        let silent = support::booking(network, 0);
+        let service = support::booking(network, 1);
+        let daemon = Daemon::start(network, 0, 1, "");
+        daemon.ready().await;
+        silent.set_faults(&json!({ "die": true })).expect("the fault is set");
+        for number in 0..4 {
+            let path = format!("/v1/services/booking/plots/{number}");
+            let (status, body) = support::get(daemon.address, &path, Some(ACCOUNT_KEY))
+                .await
+                .expect("an answer");
+            assert_eq!(status, StatusCode::OK, "{}", String::from_utf8_lossy(&body));
+        }
+        assert_eq!(service.stats()["lookups"], 4);
+    });
+}
