Tell callers how long an entry waits for its share after a start or a pause

Cause: an entry that was killed and restarted or paused takes nothing until the others have seen it, at most 10 s, and the refusal was computed from the rate at which tokens are released. The refusal now has a cause of its own and the time that is left, and Retry-After is rounded up.

--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -100,6 +100,8 @@
 /// Why there is no room.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Cause {
+    /// This entry has started or was paused and waits until its share is known.
+    Settling,
     /// The charge is larger than the entry's whole share of the target, so that waiting does not help.
     TooLarge,
     /// The entry's share of the target is in use, or the target reports that it is full.
--- a/crates/core/src/limit_gate.rs
+++ b/crates/core/src/limit_gate.rs
@@ -282,6 +282,15 @@
         };
         let timing = self.timing;
         let fits = self.room(room).is_some_and(|room| room.fits(now, request, &timing));
+        let wait = self
+            .room(room)
+            .map_or(Duration::ZERO, |room| room.wait_left(now, &timing));
+        if !fits && !wait.is_zero() {
+            return Err(Refusal {
+                cause: Cause::Settling,
+                retry_after: wait,
+            });
+        }
         if !fits {
             let missing = tokens.saturating_sub(self.free(now, room)).max(1);
             let cause = self.cause(room, tokens);
--- a/crates/core/src/limit_room.rs
+++ b/crates/core/src/limit_room.rs
@@ -1,6 +1,7 @@
 //! The charges of this entry at one target.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use crate::clock::Instant;
 use crate::limit::{Share, Sharer, Timing};
@@ -88,6 +89,11 @@
         self.report = None;
     }
 
+    /// Returns how long the room cannot be used yet.
+    pub(crate) fn wait_left(&self, now: Instant, timing: &Timing) -> Duration {
+        self.share.wait_left(now, timing)
+    }
+
     /// Begins anew, after a pause in which others may have taken this entry's share.
     pub fn restart(&mut self, now: Instant, timing: &Timing) {
         self.wait(now, timing);
--- a/crates/core/src/limit_share.rs
+++ b/crates/core/src/limit_share.rs
@@ -60,6 +60,14 @@
         self.ready = self.ready.max(now + timing.settle);
     }
 
+    /// Returns how long the share cannot be used yet because other entries may not have seen this one.
+    pub fn wait_left(&self, now: Instant, timing: &Timing) -> Duration {
+        if self.divisor(timing) <= 1 {
+            return Duration::ZERO;
+        }
+        self.ready.since(now)
+    }
+
     /// Takes a new view of the other entries.
     pub fn observe(&mut self, now: Instant, view: &[Sharer], timing: &Timing) {
         self.expire(now);
@@ -79,7 +87,7 @@
     /// Returns the tokens that this entry may hold at a target with this usable capacity.
     pub fn bound(&mut self, now: Instant, usable: u64, timing: &Timing) -> u64 {
         self.expire(now);
-        let divisor = (count(self.others.len()) + 1).max(u64::from(timing.floor));
+        let divisor = self.divisor(timing);
         let fair = usable / divisor.max(1);
         if divisor <= 1 {
             return fair;
@@ -93,6 +101,10 @@
         fair.min(self.left_by_elders(now, usable, timing))
     }
 
+    fn divisor(&self, timing: &Timing) -> u64 {
+        (count(self.others.len()) + 1).max(u64::from(timing.floor))
+    }
+
     /// Returns what remains when every entry before this one holds the largest share it can have had.
     fn left_by_elders(&self, now: Instant, usable: u64, timing: &Timing) -> u64 {
         let age = now.since(self.since);
--- a/crates/core/tests/limit.rs
+++ b/crates/core/tests/limit.rs
@@ -86,6 +86,27 @@
     Instant::from_start(Duration::from_secs(seconds))
 }
 
+/// Guards against a caller that is told to wait for load to fall, while an entry that has just started waits for its
+/// share; both the cause and the time differ.
+#[test]
+fn an_entry_that_waits_for_its_share_says_for_how_long() {
+    let mut bench = Bench::new(Timing {
+        rise: Duration::from_secs(10),
+        ..TIMING
+    });
+    bench.view(1, &[OLD]);
+    let demand = Demand {
+        account: &bench.account,
+        priority: 9,
+        share: 10,
+        prompt: 100,
+        expected: 100,
+    };
+    let refusal = bench.gate.admit(at(4), &bench.target, &demand).unwrap_err();
+    assert_eq!(refusal.cause, Cause::Settling);
+    assert_eq!(refusal.retry_after, Duration::from_secs(6));
+}
+
 /// Guards against a newcomer that takes room which others still hold, and against one that never gets its share.
 #[test_case(0, 2, 0; "a newcomer waits until everyone has seen it")]
 #[test_case(61, 2, 0; "then old entries may still hold all that they had")]
--- a/crates/daemon/src/problem.rs
+++ b/crates/daemon/src/problem.rs
@@ -70,7 +70,7 @@
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
         if let Some(delay) = self.retry_after {
-            headers.insert(RETRY_AFTER, HeaderValue::from(delay.as_secs().max(1)));
+            headers.insert(RETRY_AFTER, HeaderValue::from(whole_seconds(delay)));
         }
         response
     }
@@ -139,6 +139,12 @@
     }
 }
 
+/// Rounds up, because a caller that comes back too early is refused again.
+fn whole_seconds(delay: Duration) -> u64 {
+    let seconds = delay.as_millis().div_ceil(1000).max(1);
+    u64::try_from(seconds).unwrap_or(u64::MAX)
+}
+
 fn retry_after(kind: &Kind) -> Option<Duration> {
     match kind {
         Kind::Unavailable { retry_after, .. } | Kind::Limited { retry_after, .. } => Some(*retry_after),
