--- a/crates/core/tests/retry.rs
+++ b/crates/core/tests/retry.rs
@@ -37,6 +37,18 @@
     assert!(budget.withdraw(Instant::ZERO, &other_target, &other_account));
 }
 
+/// Guards against the loss of an engine that fails most of its long generations because their resumes exceed the budget.
+#[test]
+fn long_generations_pay_for_their_own_resume() {
+    let (target, account) = names();
+    let mut budget = Budget::default();
+    for _ in 0..300 {
+        budget.earn(Instant::ZERO, &target, &account, 256);
+    }
+    let resumed = (0..300).filter(|_| budget.withdraw(Instant::ZERO, &target, &account));
+    assert_eq!(resumed.count(), 300);
+}
+
 /// Guards against a budget that stays empty, and against memory that grows with every account seen.
 #[test]
 fn budget_recovers_and_is_forgotten() {
