Send a returning caller on from an entry that has no room yet; one platform API

An entry that was restarted or paused takes nothing for up to 10 s, but it took generations over and kept their callers waiting. It now answers a resume with 503 and Retry-After, and neither /readyz nor GET /v1/entries offers it after a pause either. Ruled out: letting taken-over generations ignore the wait, because room that is not known can overfill a target. Without the rule the test's resume gets 200.

The platform client had two sets of calls, typed ones for claims and untyped ones for configuration and verdicts; the typed ones serve all now. The time of the drain limit was measured twice, by the kernel and by the generations; the kernel's phase decides.

--- a/crates/core/src/limit_gate.rs
+++ b/crates/core/src/limit_gate.rs
@@ -172,6 +172,14 @@
         })
     }
 
+    /// Returns how long no target can be used yet, after a start or a pause of this entry.
+    pub fn wait_left(&self, now: Instant) -> Duration {
+        let books = self.books.borrow();
+        let present = books.rooms.values().filter(|slot| !slot.removed);
+        let waits = present.map(|slot| slot.room.wait_left(now, &books.timing));
+        waits.min().unwrap_or_default()
+    }
+
     /// Returns the tokens that can still be charged at a target.
     pub fn free(&self, now: Instant, target: &Target) -> u64 {
         let room = self.names.get(target);
--- a/crates/core/tests/limit.rs
+++ b/crates/core/tests/limit.rs
@@ -105,6 +105,8 @@
     let refusal = bench.gate.admit(at(4), &bench.target, &demand).unwrap_err();
     assert_eq!(refusal.cause, Cause::Settling);
     assert_eq!(refusal.retry_after, Duration::from_secs(6));
+    assert_eq!(bench.gate.wait_left(at(4)), Duration::from_secs(6));
+    assert_eq!(bench.gate.wait_left(at(10)), Duration::ZERO);
 }
 
 /// Guards against a newcomer that takes room which others still hold, and against one that never gets its share.
--- a/crates/daemon/src/configuration.rs
+++ b/crates/daemon/src/configuration.rs
@@ -11,6 +11,7 @@
     Command, Digest, Document, Event as Seen, Freshness, Head, Held, Reach, Source, Tracker,
 };
 use hawthornpost_core::id::Entry;
+use hawthornpost_core::platform::Plural;
 use linkme::distributed_slice;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -329,11 +330,12 @@
         match configuration.read().await {
             Ok(stored) => {
                 is_reported = false;
-                let version = stored.map_or_else(|| "0".to_owned(), |stored| stored.resource_version);
-                let watch = client.watch("configheads", &version, |object| {
+                let version = stored.and_then(|stored| store::version(&stored.resource_version).ok());
+                let version = version.unwrap_or_default();
+                let watch = client.watch(Plural::ConfigHeads, version, |object| {
                     configuration.platform_answered();
-                    if let Some(stored) = object.and_then(|object| store::stored(object).ok()) {
-                        configuration.feed(Seen::PlatformHead(Some(stored)));
+                    if let Some(object) = object {
+                        configuration.feed(Seen::PlatformHead(Some(store::stored(object))));
                     }
                 });
                 if let Some(Err(error)) = context.timer().limit(READ_INTERVAL, watch).await {
--- a/crates/daemon/src/generations.rs
+++ b/crates/daemon/src/generations.rs
@@ -20,6 +20,7 @@
 use crate::generations_replica::{self, Replicas};
 use crate::generations_running::Running;
 use crate::kernel::{Context, Phase};
+use crate::limits::Limits;
 use crate::plugin::{PLUGINS, Plugin, Stage};
 use crate::routing::{Choice, Query, Routing};
 
@@ -118,6 +119,11 @@
                 return Ok(running);
             }
         }
+        if !self.context.part::<Limits>().is_ready() {
+            // A takeover here would keep its caller waiting for room, while another entry host can go on at once.
+            let detail = "this entry host has just started or was paused and takes no generations yet; ask another one";
+            return Err(Error::unavailable(detail, RETRY_AFTER));
+        }
         let grant = self.take(&handle, next).await?;
         let backlog = self.ledger.open(account.clone(), self.now());
         let max_tokens = grant.origin.completion.max_tokens.unwrap_or(u32::MAX);
@@ -303,14 +309,12 @@
     gaps.p99().map(|_| gaps.silence())
 }
 
-/// Hands long streams over once the drain limit has passed.
+/// Hands long streams over once the kernel says that the time for running work is over.
 async fn leave(generations: Rc<Generations>) {
     let mut phase = generations.context.watch_phase();
-    if phase.wait_for(|phase| *phase >= Phase::Draining).await.is_err() {
+    if phase.wait_for(|phase| *phase >= Phase::HandingOver).await.is_err() {
         return;
     }
-    let limit = generations.context.settings().limits.drain_limit;
-    generations.context.timer().sleep(limit).await;
     for running in generations.all() {
         generations.feed(&running, Event::Leave);
     }
--- a/crates/daemon/src/leaving.rs
+++ b/crates/daemon/src/leaving.rs
@@ -12,6 +12,7 @@
 use hawthornpost_core::clock::Instant;
 use hawthornpost_core::id::{Entry, Target};
 use hawthornpost_core::inventory::Item;
+use hawthornpost_core::platform::Plural;
 use linkme::distributed_slice;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
@@ -179,10 +180,11 @@
         *told = members.into_iter().map(|member| member.entry).collect();
     }
 
-    fn read_list(&self, objects: Vec<platform::Object>) {
-        let hosts = objects
+    fn read_list(&self, list: Vec<Value>) {
+        // A host of a form that is not known says nothing about targets.
+        let hosts = list
             .into_iter()
-            .filter_map(|object| serde_json::from_value::<Host>(object.spec).ok())
+            .filter_map(|host| serde_json::from_value::<Host>(host).ok())
             .collect::<Vec<_>>();
         let document = self.context.part::<Current>().document();
         for (target, item) in document.inventory.iter() {
@@ -273,10 +275,10 @@
     let platform = context.part::<platform::Client>();
     let mut pause = LIST_POLL;
     loop {
-        match platform.list("hosts").await {
-            Ok(objects) => {
-                pause = LIST_POLL_PER_HOST * u32::try_from(objects.len()).unwrap_or(u32::MAX);
-                leaving.read_list(objects);
+        match platform.list::<Value>(Plural::Hosts).await {
+            Ok(list) => {
+                pause = LIST_POLL_PER_HOST * u32::try_from(list.len()).unwrap_or(u32::MAX);
+                leaving.read_list(list);
             }
             Err(error) => log::debug!("cannot read the hosts list: {error}"),
         }
--- a/crates/daemon/src/limits.rs
+++ b/crates/daemon/src/limits.rs
@@ -78,10 +78,17 @@
         self.state.borrow_mut()
     }
 
-    /// Returns whether targets have room for this entry host; after its start it waits until the others know it.
+    /// Returns whether targets have room for this entry host; after a start or a pause it waits until the others know it.
     pub fn is_ready(&self) -> bool {
+        self.wait_left().is_zero()
+    }
+
+    /// Returns how long this entry host waits until it has room at targets.
+    pub fn wait_left(&self) -> Duration {
         self.refresh();
-        self.context.timer().now() >= self.ready.get()
+        let now = self.context.timer().now();
+        let wait = self.state.borrow().gate.wait_left(now);
+        wait.max(self.ready.get().since(now))
     }
 
     /// Brings targets and sharers up to date when the members or the configuration have changed.
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -20,42 +20,6 @@
 use crate::kernel::Context;
 use crate::plugin::{PLUGINS, Plugin, Stage};
 
-/// The path of our kinds of object.
-const ROOT: &str = "/apis/hawthornpost.dev/v1";
-
-/// An object of the platform.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Object {
-    /// The name and version.
-    pub metadata: Metadata,
-    /// The content.
-    #[serde(default)]
-    pub spec: Value,
-    /// The state that the system reports.
-    #[serde(default, skip_serializing_if = "Value::is_null")]
-    pub status: Value,
-}
-
-/// The name and version of an object.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct Metadata {
-    /// The name.
-    pub name: String,
-    /// The version; empty on creation.
-    #[serde(default, skip_serializing_if = "String::is_empty")]
-    pub resource_version: String,
-}
-
-/// What a conditional write did.
-#[derive(Clone, Debug)]
-pub enum Written {
-    /// The write took effect; the object has its new version.
-    Done(Object),
-    /// Another write was first, or the object exists already.
-    Conflict,
-}
-
 /// How often a lost platform is asked whether it answers again.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 /// The number of calls without an answer, one after the other, after which the platform counts as down. A single lost
@@ -78,81 +42,50 @@
 }
 
 #[derive(Deserialize)]
-struct List {
-    items: Vec<Object>,
+struct List<S> {
+    items: Vec<api::Object<S>>,
 }
 
 impl Client {
-    /// Reads an object.
+    /// Reads an object, with its version.
     ///
     /// # Errors
     ///
-    /// Fails when the platform does not answer.
-    pub async fn get(&self, plural: &str, name: &str) -> Result<Option<Object>> {
-        let (status, body) = self
-            .exchange::<()>(Method::GET, &format!("{ROOT}/{plural}/{name}"), None)
-            .await?;
+    /// Fails when the platform does not answer, or with an object of another form.
+    pub async fn get<S: DeserializeOwned>(&self, plural: Plural, name: &str) -> Result<Option<(api::Version, S)>> {
+        let (status, body) = self.exchange::<()>(Method::GET, &plural.path(Some(name)), None).await?;
         match status {
             StatusCode::NOT_FOUND => Ok(None),
-            StatusCode::OK => client::decode(self.address(), &body).map(Some),
+            status if status.is_success() => self.decode_object(&body).map(Some),
             status => Err(self.refused(status, &body)),
         }
     }
 
-    /// Reads all objects of a kind.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the platform does not answer.
-    pub async fn list(&self, plural: &str) -> Result<Vec<Object>> {
-        let (status, body) = self
-            .exchange::<()>(Method::GET, &format!("{ROOT}/{plural}"), None)
-            .await?;
-        if status != StatusCode::OK {
-            return Err(self.refused(status, &body));
-        }
-        client::decode::<List>(self.address(), &body).map(|list| list.items)
-    }
-
-    /// Creates an object.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the platform does not answer; the object may have been created all the same.
-    pub async fn create(&self, plural: &str, object: &Object) -> Result<Written> {
-        self.write(Method::POST, &format!("{ROOT}/{plural}"), object).await
-    }
-
-    /// Replaces an object if it still has the version that `object` names.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the platform does not answer; the object may have been replaced all the same.
-    pub async fn update(&self, plural: &str, object: &Object) -> Result<Written> {
-        self.write(
-            Method::PUT,
-            &format!("{ROOT}/{plural}/{}", object.metadata.name),
-            object,
-        )
-        .await
-    }
-
-    /// Reads an object with contents of a known type.
+    /// Reads an object as [`Client::get`] does.
     ///
     /// # Errors
     ///
-    /// Fails when the platform does not answer, or with another object.
+    /// Fails with what is known about the effect of a call.
     pub async fn read<S: DeserializeOwned>(
         &self,
         plural: Plural,
         name: &str,
     ) -> std::result::Result<Option<(api::Version, S)>, Failure> {
-        let result = self.exchange::<()>(Method::GET, &plural.path(Some(name)), None).await;
-        let (status, body) = result.map_err(|error| failure(&error))?;
-        if status == StatusCode::NOT_FOUND {
-            return Ok(None);
+        self.get(plural, name).await.map_err(|error| failure(&error))
+    }
+
+    /// Reads the contents of all objects of a kind.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer, or with objects of another form.
+    pub async fn list<S: DeserializeOwned>(&self, plural: Plural) -> Result<Vec<S>> {
+        let (status, body) = self.exchange::<()>(Method::GET, &plural.path(None), None).await?;
+        if status != StatusCode::OK {
+            return Err(self.refused(status, &body));
         }
-        self.decode_object(status, &body).map(Some)
+        let list = client::decode::<List<S>>(self.address(), &body)?;
+        Ok(list.items.into_iter().map(|object| object.spec).collect())
     }
 
     /// Replaces an object if it still has the version `base`, or creates it when there is no base.
@@ -174,8 +107,12 @@
         };
         let result = self.exchange(method, &path, Some(&object)).await;
         let (status, body) = result.map_err(|error| failure(&error))?;
-        let written = self.decode_object::<serde::de::IgnoredAny>(status, &body);
-        written.map(|(version, _)| version)
+        if !status.is_success() {
+            return Err(refusal(status));
+        }
+        // A write with an answer that cannot be decoded took effect, with a version that is not known.
+        let written = self.decode_object::<serde::de::IgnoredAny>(&body);
+        written.map(|(version, _)| version).map_err(|error| failure(&error))
     }
 
     /// Deletes an object.
@@ -198,21 +135,9 @@
         *self.unanswered.borrow() < DOWN_AFTER
     }
 
-    fn decode_object<S: DeserializeOwned>(
-        &self,
-        status: StatusCode,
-        body: &[u8],
-    ) -> std::result::Result<(api::Version, S), Failure> {
-        if !status.is_success() {
-            return Err(refusal(status));
-        }
-        // A write with an answer that cannot be decoded took effect, with a version that is not known.
-        let object = client::decode::<api::Object<S>>(self.address(), body).map_err(|error| {
-            log::debug!("{error}");
-            Failure::Lost
-        })?;
-        let version = object.metadata.resource_version.ok_or(Failure::Lost)?;
-        Ok((version, object.spec))
+    fn decode_object<S: DeserializeOwned>(&self, body: &[u8]) -> Result<(api::Version, S)> {
+        let object = client::decode::<api::Object<S>>(self.address(), body)?;
+        with_version(object)
     }
 
     /// Watches objects of a kind from a version on and passes on each, and `None` for a sign of life; ends with the
@@ -221,8 +146,13 @@
     /// # Errors
     ///
     /// Fails when the platform does not answer or no longer knows the version.
-    pub async fn watch(&self, plural: &str, version: &str, mut seen: impl FnMut(Option<Object>)) -> Result<()> {
-        let path = format!("{ROOT}/{plural}?watch=1&resourceVersion={version}");
+    pub async fn watch<S: DeserializeOwned>(
+        &self,
+        plural: Plural,
+        version: api::Version,
+        mut seen: impl FnMut(Option<(api::Version, S)>),
+    ) -> Result<()> {
+        let path = format!("{}?watch=1&resourceVersion={version}", plural.path(None));
         let response = client::open(self.address(), client::request(Method::GET, path)).await?;
         if response.status() != StatusCode::OK {
             return Err(self.refused(response.status(), b"the watch is refused"));
@@ -237,7 +167,10 @@
                 let line = buffer.drain(..=end).collect::<Vec<_>>();
                 let change = client::decode::<Change>(address, &line)?;
                 match change.r#type.as_str() {
-                    "ADDED" | "MODIFIED" => seen(serde_json::from_value(change.object).ok()),
+                    "ADDED" | "MODIFIED" => {
+                        let object = serde_json::from_value::<api::Object<S>>(change.object);
+                        seen(object.ok().and_then(|object| with_version(object).ok()));
+                    }
                     "BOOKMARK" => seen(None),
                     // A deletion or an error is settled by the next reading.
                     _ => return Ok(()),
@@ -247,15 +180,6 @@
         Ok(())
     }
 
-    async fn write(&self, method: Method, path: &str, object: &Object) -> Result<Written> {
-        let (status, body) = self.exchange(method, path, Some(object)).await?;
-        match status {
-            StatusCode::OK | StatusCode::CREATED => client::decode(self.address(), &body).map(Written::Done),
-            StatusCode::CONFLICT => Ok(Written::Conflict),
-            status => Err(self.refused(status, &body)),
-        }
-    }
-
     async fn exchange<T: Serialize>(
         &self,
         method: Method,
@@ -327,10 +251,21 @@
     }
 }
 
-/// Returns what an error without an answer says about the effect of a call.
+fn with_version<S>(object: api::Object<S>) -> Result<(api::Version, S)> {
+    let version = object.metadata.resource_version.ok_or_else(|| {
+        Error::failed(
+            format!("the platform sent object {} without a version", object.metadata.name),
+            "check the release of the platform",
+        )
+    })?;
+    Ok((version, object.spec))
+}
+
+/// Returns what an error says about the effect of a call.
 fn failure(error: &Error) -> Failure {
     match error.kind() {
         Kind::Connect { .. } => Failure::Refused,
+        Kind::Status { status, .. } => refusal(*status),
         _ => Failure::Lost,
     }
 }
--- a/crates/daemon/src/rollouts.rs
+++ b/crates/daemon/src/rollouts.rs
@@ -7,6 +7,7 @@
 
 use hawthornpost_core::config::{Digest, Document};
 use hawthornpost_core::id::{Account, Model, Request, Rollout, Route as Group, Target, Version};
+use hawthornpost_core::platform::Plural;
 use hawthornpost_core::rollout::{self, Board, Command, Delta, Known, Outcome, Report, Run, Sample, Verdict};
 use hyper::Method;
 use jiff::Timestamp;
@@ -16,7 +17,6 @@
 
 use crate::access::Access;
 use crate::configuration::Current;
-use crate::configuration_store as store;
 use crate::error::{Error, Result};
 use crate::event::Event;
 use crate::http::{self, ROUTES, Route};
@@ -29,7 +29,6 @@
 const JUDGE_INTERVAL: Duration = Duration::from_millis(500);
 /// Verdicts that the platform may not have are written this often until it has them.
 const WRITE_INTERVAL: Duration = Duration::from_secs(2);
-const VERDICTS: &str = "verdicts";
 /// Gaps between tokens are averaged over this many, because neighbouring gaps of one stream are not independent.
 const GAP_TOKENS: u32 = 64;
 
@@ -377,8 +376,7 @@
 }
 
 async fn read(rollouts: &Rollouts, client: &platform::Client) -> Result<()> {
-    for object in client.list(VERDICTS).await? {
-        let Stored { run, verdict } = store::decode(object.spec)?;
+    for Stored { run, verdict } in client.list(Plural::Verdicts).await? {
         rollouts.learn(&[(run, verdict)]);
     }
     Ok(())
@@ -387,14 +385,11 @@
 /// Writes a verdict unless the platform has a stronger one.
 async fn write(client: &platform::Client, run: &Run, verdict: &Verdict) -> Result<()> {
     let name = Digest::of(format!("{run:?}")).to_string();
-    let existing = client.get(VERDICTS, &name).await?;
-    let mut merged = Verdict::Running;
-    let mut version = String::new();
-    if let Some(object) = existing {
-        version = object.metadata.resource_version;
-        merged = store::decode::<Stored>(object.spec)?.verdict;
-    }
-    let is_new = version.is_empty();
+    let existing = client.get::<Stored>(Plural::Verdicts, &name).await?;
+    let (base, mut merged) = match existing {
+        Some((version, stored)) => (Some(version), stored.verdict),
+        None => (None, Verdict::Running),
+    };
     if !merged.merge(verdict) {
         return Ok(());
     }
@@ -402,17 +397,11 @@
         run: run.clone(),
         verdict: merged,
     };
-    let object = store::object(&name, version, &stored)?;
-    let written = if is_new {
-        client.create(VERDICTS, &object).await?
-    } else {
-        client.update(VERDICTS, &object).await?
-    };
-    match written {
-        platform::Written::Done(_) => Ok(()),
-        platform::Written::Conflict => Err(Error::conflict(
-            "another entry host wrote the verdict",
-            "it is read again",
-        )),
-    }
+    let written = client.put(Plural::Verdicts, &name, base, &stored).await;
+    written.map(drop).map_err(|failure| {
+        Error::failed(
+            format!("the verdict is not written: {failure:?}"),
+            "it is read and written again",
+        )
+    })
 }
--- a/crates/daemon/tests/generations.rs
+++ b/crates/daemon/tests/generations.rs
@@ -17,6 +17,7 @@
 const GAP: Duration = Duration::from_millis(10);
 
 struct Deployment {
+    network: Network,
     engines: Vec<Handle>,
     entries: Vec<Daemon>,
     _platform: Handle,
@@ -28,6 +29,7 @@
         let platform = support::platform(network, &support::document(network, 1, engines));
         let engines = (0..engines).map(|index| support::engine(network, index, "v1", TOKENS, GAP));
         let deployment = Self {
+            network,
             engines: engines.collect(),
             entries: (0..entries)
                 .map(|index| Daemon::start(network, index, entries, extra))
@@ -144,6 +146,34 @@
     });
 }
 
+/// Guards against a takeover by an entry that has no room yet after its start, so that the caller waits for seconds.
+#[test]
+fn a_restarted_entry_sends_a_returning_caller_on() {
+    support::run(async {
+        let mut deployment = Deployment::start(2, 3, "").await;
+        let mut caller = deployment.call(0).await;
+        caller.read_tokens(30).await;
+        deployment.entries[2].kill();
+        deployment.entries[2] = Daemon::start(deployment.network, 2, 3, "");
+        let restarted = deployment.entries[2].address;
+        support::wait_for("the configuration of the restarted entry", async || {
+            let answer = support::get(restarted, "/v1/entries", Some(ACCOUNT_KEY)).await;
+            answer.is_ok_and(|(status, _)| status == StatusCode::OK)
+        })
+        .await;
+        deployment.entries[0].kill();
+        caller.read_all().await;
+        assert_eq!(
+            caller.resume(restarted, ACCOUNT_KEY).await,
+            StatusCode::SERVICE_UNAVAILABLE
+        );
+        let other = deployment.entries[1].address;
+        assert_eq!(caller.resume(other, ACCOUNT_KEY).await, StatusCode::OK);
+        caller.read_all().await;
+        check(&caller);
+    });
+}
+
 /// Guards against an entry that wakes and goes on with a generation that another entry has taken over (H2).
 #[test]
 fn an_entry_that_wakes_after_a_takeover_stops_its_generation() {
