--- a/crates/cli/src/operate.rs
+++ b/crates/cli/src/operate.rs
@@ -75,7 +75,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "entry {} in {} ({}) is {}, applies version {} and has {} pieces of work running",
+            "entry {} in {} ({}) is {}, applies version {} and has {} running pieces of work",
             self.name, self.data_centre, self.region, self.phase, self.config_version, self.running_work
         )
     }
