--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -119,6 +119,12 @@
 operate apply --inventory "$work/assets.csv" --rules "$work/rules.ini"
 operate status
 
+# A daemon takes no generations until the other entry hosts have seen it, at most 10 s after its start.
+ready() { http "$net.1$1:7101" GET /readyz | grep -qx ready; }
+for n in 1 2 3; do
+  wait_until "entry-$n to take generations" ready "$n"
+done
+
 echo "== stream a generation and kill its engine in the middle"
 call send --model reports --prompt "$prompt" >"$work/answer" &
 reader=$!
