Build the refusal of a waiting entry in one place

The routing and the resume of a generation each spelled out the same refusal. The text and the time to retry are unchanged; the generations (11) and routing (6) process tests pass.

--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -99,6 +99,14 @@
         matches!(&*self.kind, Kind::Status { status, .. } if *status == StatusCode::SERVICE_UNAVAILABLE)
     }
 
+    /// Builds an error about a generation that comes before this entry host knows its room at the targets.
+    pub fn settling(retry_after: Duration) -> Self {
+        Self::unavailable(
+            "this entry host has just started or was paused and takes no generations yet; ask another one",
+            retry_after,
+        )
+    }
+
     /// Builds an error about a malformed request.
     pub fn bad_request(detail: impl fmt::Display, remedy: impl Into<String>) -> Self {
         Self::from(Kind::BadRequest {
--- a/crates/daemon/src/generations.rs
+++ b/crates/daemon/src/generations.rs
@@ -121,8 +121,7 @@
         }
         if !self.context.part::<Limits>().is_ready() {
             // A takeover here would keep its caller waiting for room, while another entry host can go on at once.
-            let detail = "this entry host has just started or was paused and takes no generations yet; ask another one";
-            return Err(Error::unavailable(detail, RETRY_AFTER));
+            return Err(Error::settling(RETRY_AFTER));
         }
         let grant = self.take(&handle, next).await?;
         let backlog = self.ledger.open(account.clone(), self.now());
--- a/crates/daemon/src/routing.rs
+++ b/crates/daemon/src/routing.rs
@@ -322,10 +322,7 @@
             let detail = format!("all engines of {model} {version} are full");
             Error::unavailable(detail, refusal.retry_after)
         }
-        Cause::Settling => {
-            let detail = "this entry host has just started or was paused and takes no generations yet; ask another one";
-            Error::unavailable(detail, refusal.retry_after)
-        }
+        Cause::Settling => Error::settling(refusal.retry_after),
         Cause::TooLarge => {
             let detail = format!("prompt and answer are larger than this entry's room at any engine of {model}");
             Error::unavailable(detail, refusal.retry_after)
