--- /dev/null
+++ b/crates/gateway/src/feed.rs
@@ -0,0 +1,111 @@
+//! Which hosts watch the platform's store, and what they tell the others.
+//!
+//! Every call of the store costs, and a watch ends at each change. A few hosts watch, one in each data centre, and tell
+//! the others over UDP. A host that hears nothing for a short time watches for itself.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use hawthornpost_core::clock::Instant;
+use hawthornpost_core::id::{DataCentre, Entry};
+use serde::{Deserialize, Serialize};
+
+use crate::platform::Kind;
+use crate::target::Target;
+
+/// The number of hosts that watch.
+pub const WATCHERS: usize = 3;
+/// How long a host relies on the last word of a watcher. Watchers speak every second, and a change has to be in force
+/// within two.
+pub const FRESH_FOR: Duration = Duration::from_millis(1250);
+
+/// What a watcher tells the others.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Feed {
+    /// The newest version of the configuration.
+    Config {
+        /// The version.
+        version: u64,
+    },
+    /// Changes of targets.
+    Targets {
+        /// The revision before the changes.
+        since: u64,
+        /// The revision after them.
+        revision: u64,
+        /// The changes, oldest first.
+        changes: Vec<Change>,
+    },
+}
+
+/// A change of a target.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Change {
+    /// The target is new or has changed.
+    Put(Target),
+    /// The target with this id is gone, or its entry is unusable.
+    Gone(String),
+}
+
+/// A host that may watch.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Candidate<'a> {
+    /// The name.
+    pub entry: &'a Entry,
+    /// The data centre.
+    pub data_centre: &'a DataCentre,
+}
+
+/// When the state of each kind was last known to be current.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Freshness {
+    config: Option<Instant>,
+    targets: Option<Instant>,
+}
+
+impl Freshness {
+    /// Notes that a kind is current.
+    pub fn note(&mut self, kind: Kind, now: Instant) {
+        *self.slot(kind) = Some(now);
+    }
+
+    /// Returns how long a kind counts as current; zero when it does not.
+    pub fn left(&mut self, kind: Kind, now: Instant) -> Duration {
+        let at = *self.slot(kind);
+        at.map_or(Duration::ZERO, |at| (at + FRESH_FOR).since(now))
+    }
+
+    fn slot(&mut self, kind: Kind) -> &mut Option<Instant> {
+        match kind {
+            Kind::Config => &mut self.config,
+            Kind::Targets => &mut self.targets,
+        }
+    }
+}
+
+/// Returns whether a host is one of those that watch: the first of each data centre by a hash of its name, up to
+/// [`WATCHERS`]; further ones when there are fewer data centres.
+pub fn is_watcher(own: &Entry, candidates: &[Candidate<'_>]) -> bool {
+    let mut order = candidates.iter().collect::<Vec<_>>();
+    order.sort_by_key(|candidate| (rank(candidate.entry), candidate.entry));
+    let mut data_centres = BTreeSet::new();
+    let (mut first, mut others) = (Vec::new(), Vec::new());
+    for candidate in order {
+        if data_centres.insert(candidate.data_centre) {
+            first.push(candidate.entry);
+        } else {
+            others.push(candidate.entry);
+        }
+    }
+    first.into_iter().chain(others).take(WATCHERS).any(|entry| entry == own)
+}
+
+/// Spreads the duty over hosts independently of how they are named.
+fn rank(entry: &Entry) -> u64 {
+    // FNV-1a; every host has to come to the same order.
+    entry.as_str().bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    })
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! | [`dialect`] | headers of callers and targets |
 //! | [`event`] | numbered log events |
 //! | [`event_stream`] | whole events of a stream |
+//! | [`feed`] | which hosts watch the store and what they tell the others |
 //! | [`fleet`] | targets, their load and trouble, the choice among them |
 //! | [`gateway`] | shared state of a process |
 //! | [`load`] | work at a target |
@@ -32,6 +33,7 @@
 pub mod event;
 pub mod event_stream;
 mod exchange;
+pub mod feed;
 pub mod fleet;
 pub mod gateway;
 mod headers;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -12,12 +12,14 @@
 use hawthornpost_core::clock::Instant;
 use hawthornpost_core::id::Entry;
 use hawthornpost_core::membership::{self, Command, Member, Message, State, Table};
+use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
 use crate::error::{Kind, Result};
 use crate::event::Event;
+use crate::feed::{self, Candidate, Feed};
 use crate::gateway::Gateway;
 use crate::load::Load;
 use crate::settings::Settings;
@@ -50,6 +52,9 @@
     changed: Notify,
     /// What the others have to be told besides this host's own state.
     notices: RefCell<Vec<Datagram>>,
+    /// What watchers told this host.
+    feeds: RefCell<Vec<Feed>>,
+    fed: Notify,
 }
 
 /// What hosts send to each other.
@@ -68,6 +73,8 @@
     Loads { from: Entry, loads: BTreeMap<String, Load> },
     /// The sender saw a target fail.
     Suspect { target: String },
+    /// The sender watches the store and tells what it saw.
+    Feed(Feed),
     /// The sender saw another incarnation at a target's address, and maybe knows it.
     Replaced { target: String, successor: Option<Target> },
 }
@@ -113,6 +120,8 @@
             loads: Notify::new(),
             changed: Notify::new(),
             notices: RefCell::default(),
+            feeds: RefCell::default(),
+            fed: Notify::new(),
         }
     }
 
@@ -137,7 +146,7 @@
     pub fn with_newer_config(&self, version: u64) -> Option<SocketAddr> {
         let table = self.table.borrow();
         let newer = table.others().filter(|member| member.is_live() && member.config > version);
-        newer.max_by_key(|member| member.config).map(|member| member.peer_address)
+        pick_near(table.own(), &newer.collect::<Vec<_>>())
     }
 
     /// Returns the address of a live peer that knows the targets as of a later revision.
@@ -145,8 +154,8 @@
         let table = self.table.borrow();
         let revisions = self.revisions.borrow();
         let newer = revisions.iter().filter(|(_, known)| **known > revision);
-        let mut live = newer.filter_map(|(name, known)| Some((known, table.get(name)?)));
-        live.find(|(_, member)| member.is_live()).map(|(_, member)| member.peer_address)
+        let members = newer.filter_map(|(name, _)| table.get(name));
+        pick_near(table.own(), &members.filter(|member| member.is_live()).collect::<Vec<_>>())
     }
 
     /// Returns the addresses of some peers to ask for what this host lacks.
@@ -195,6 +204,34 @@
         });
     }
 
+    /// Tells the other hosts what this host saw in the store.
+    pub(crate) fn tell_feed(&self, feed: Feed) {
+        self.tell(Datagram::Feed(feed));
+    }
+
+    /// Waits for what watchers tell.
+    pub(crate) async fn feeds(&self) -> Vec<Feed> {
+        loop {
+            let feeds = self.feeds.take();
+            if !feeds.is_empty() {
+                return feeds;
+            }
+            self.fed.notified().await;
+        }
+    }
+
+    /// Returns whether this host is one of those that watch the store.
+    pub fn is_watcher(&self) -> bool {
+        let table = self.table.borrow();
+        let live = table.live();
+        let open = live.iter().filter(|member| !member.draining);
+        let candidates = open.map(|member| Candidate {
+            entry: &member.name,
+            data_centre: &member.data_centre,
+        });
+        feed::is_watcher(&self.name, &candidates.collect::<Vec<_>>())
+    }
+
     fn tell(&self, notice: Datagram) {
         self.notices.borrow_mut().push(notice);
         self.changed.notify_one();
@@ -339,6 +376,10 @@
             Datagram::Suspect { target } => {
                 self.gateway.fleet().borrow_mut().suspect(now, &target);
             }
+            Datagram::Feed(feed) => {
+                self.peers().feeds.borrow_mut().push(feed);
+                self.peers().fed.notify_one();
+            }
             Datagram::Replaced { target, successor } => {
                 self.gateway.fleet().borrow_mut().note_replaced(&target);
                 if let Some(successor) = successor {
@@ -459,6 +500,14 @@
     }
 }
 
+/// Picks a member at random, one of the own data centre when there is any, as bytes between data centres cost.
+fn pick_near(own: &Member, members: &[&Member]) -> Option<SocketAddr> {
+    let near = members.iter().filter(|member| member.data_centre == own.data_centre);
+    let near = near.collect::<Vec<_>>();
+    let chosen = near.choose(&mut rand::rng()).copied().or_else(|| members.choose(&mut rand::rng()));
+    chosen.map(|member| member.peer_address)
+}
+
 fn state_name(state: State) -> &'static str {
     match state {
         State::Alive => "alive",
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -15,14 +15,22 @@
 
 use crate::config::Config;
 use crate::event::Event;
+use crate::feed::{self, Feed, Freshness};
 use crate::gateway::Gateway;
 use crate::outbound::Connection;
 use crate::platform::{Change, Failure, Kind, Object, Platform};
 use crate::target::Target;
 
-/// How long the store may hold a watch. A watch that went silent is noticed a little later, which has to be soon enough
-/// for a change to be in force in time.
-const WATCH_WAIT: Duration = Duration::from_millis(3000);
+/// How long the store may hold a watch. The other hosts rely on a watcher for little longer than that.
+const WATCH_WAIT: Duration = Duration::from_millis(1000);
+/// The shortest pause of a host that does not have to watch.
+const LEAST_REST: Duration = Duration::from_millis(50);
+/// The pause after changes of targets.
+const GROUP_PAUSE: Duration = Duration::from_millis(100);
+/// The most changes in one datagram.
+const FEED_CHANGES: usize = 24;
+/// The time over which hosts spread their questions to peers.
+const FETCH_SPREAD: Duration = Duration::from_millis(150);
 /// The pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// The longest pause after failed calls.
@@ -30,7 +38,7 @@
 /// How long a target is kept whose entry lapsed while the store was away; by then a live one has registered again.
 const LAPSE_GRACE: Duration = Duration::from_millis(2200);
 /// How long a peer may be ahead before its knowledge is fetched; usually the own watch is as fast.
-const PEER_LEAD: Duration = Duration::from_millis(120);
+const PEER_LEAD: Duration = Duration::from_millis(400);
 /// How long a target may serve that the store does not list; servers register within a heartbeat or two.
 const UNLISTED_GRACE: Duration = Duration::from_millis(3500);
 /// How long a watch waits while lapsed targets are kept.
@@ -61,6 +69,9 @@
     gateway: Rc<Gateway>,
     platform: P,
     link: Link,
+    freshness: RefCell<Freshness>,
+    /// Whether the changes since the known revision cannot be had any more.
+    must_list: Cell<bool>,
     /// Targets whose entries lapsed while the store was away, with the time at which they count as gone.
     lapsed: RefCell<BTreeMap<String, Option<Instant>>>,
 }
@@ -79,26 +90,50 @@
             gateway: Rc::clone(gateway),
             platform,
             link: Link::default(),
+            freshness: RefCell::default(),
+            must_list: Cell::default(),
             lapsed: RefCell::default(),
         });
         for kind in [Kind::Config, Kind::Targets] {
             let sync = Rc::clone(&sync);
             tokio::task::spawn_local(async move { sync.follow(kind).await });
         }
-        let news = Rc::clone(&sync);
+        let (news, feeds) = (Rc::clone(&sync), Rc::clone(&sync));
         tokio::task::spawn_local(async move { news.follow_peers().await });
+        tokio::task::spawn_local(async move { feeds.follow_feeds().await });
         tokio::task::spawn_local(async move { sync.ask_at_start().await });
     }
 
+    /// Watches the store whenever this host has to, for itself or for others.
     async fn follow(&self, kind: Kind) {
+        let mut revision = None;
         let mut pause = RETRY_PAUSE;
         loop {
-            match self.platform.list(kind).await {
-                Ok(listing) => {
-                    self.note_back();
+            if !self.has_to_watch(kind) {
+                // What watchers tell moves the targets on, so that their revision is known when this host watches again.
+                revision = None;
+                let left = self.freshness.borrow_mut().left(kind, self.gateway.now());
+                self.gateway.timer().sleep(left.max(LEAST_REST)).await;
+                continue;
+            }
+            let since = revision.or_else(|| self.revision_of(kind));
+            let result = match since {
+                Some(since) => self.watch(kind, since).await,
+                None => self.list(kind).await,
+            };
+            match result {
+                Ok(reached) => {
+                    revision = Some(reached);
                     pause = RETRY_PAUSE;
-                    self.apply_listing(kind, listing.objects, listing.revision);
-                    self.follow_changes(kind, listing.revision).await;
+                    self.note_back();
+                    self.freshness.borrow_mut().note(kind, self.gateway.now());
+                }
+                Err(Failure::HistoryGone) => {
+                    let listed = self.list(kind).await;
+                    revision = listed.ok();
+                    if revision.is_none() {
+                        self.forget_revision(kind);
+                    }
                 }
                 Err(error) => {
                     self.note_lost(&error);
@@ -109,31 +144,116 @@
         }
     }
 
-    /// Applies changes until the history is gone.
-    async fn follow_changes(&self, kind: Kind, mut revision: u64) {
-        let mut pause = RETRY_PAUSE;
+    fn has_to_watch(&self, kind: Kind) -> bool {
+        self.freshness.borrow_mut().left(kind, self.gateway.now()).is_zero() || self.gateway.peers().is_watcher()
+    }
+
+    /// Returns the revision from which a watch of a kind goes on when this host did not watch before.
+    fn revision_of(&self, kind: Kind) -> Option<u64> {
+        let revision = self.gateway.fleet_revision();
+        (kind == Kind::Targets && revision > 0 && !self.must_list.get()).then_some(revision)
+    }
+
+    fn forget_revision(&self, kind: Kind) {
+        if kind == Kind::Targets {
+            self.must_list.set(true);
+        }
+    }
+
+    async fn list(&self, kind: Kind) -> Result<u64, Failure> {
+        let listing = self.platform.list(kind).await?;
+        self.note_back();
+        let before = self.gateway.fleet_revision();
+        self.apply_listing(kind, listing.objects, listing.revision);
+        if kind == Kind::Targets {
+            self.must_list.set(false);
+        }
+        self.tell(kind, before, listing.revision, None);
+        Ok(listing.revision)
+    }
+
+    async fn watch(&self, kind: Kind, since: u64) -> Result<u64, Failure> {
+        let wait = if self.lapsed.borrow().is_empty() { WATCH_WAIT } else { LAPSE_CHECK };
+        let changes = self.platform.watch(kind, since, wait).await?;
+        self.note_back();
+        let revision = changes.revision.max(since);
+        let told = changes.changes.iter().filter_map(feed_change).collect::<Vec<_>>();
+        let has_changes = !changes.changes.is_empty();
+        for change in changes.changes {
+            self.apply(change, revision);
+        }
+        self.finish(kind, revision);
+        self.tell(kind, since, revision, Some(told));
+        if has_changes && kind == Kind::Targets {
+            // Servers register and end in groups; one watch then returns the changes of all.
+            self.gateway.timer().sleep(GROUP_PAUSE).await;
+        }
+        Ok(revision)
+    }
+
+    /// Tells the other hosts what this one saw, when it watches for them.
+    fn tell(&self, kind: Kind, since: u64, revision: u64, changes: Option<Vec<feed::Change>>) {
+        let peers = self.gateway.peers();
+        if !peers.is_watcher() {
+            return;
+        }
+        let feed = match (kind, changes) {
+            (Kind::Config, _) => Feed::Config { version: self.gateway.config_version() },
+            (Kind::Targets, Some(changes)) if changes.len() <= FEED_CHANGES => Feed::Targets { since, revision, changes },
+            // A receiver that is behind sees the gap and fetches all targets.
+            (Kind::Targets, _) => Feed::Targets { since: revision, revision, changes: Vec::new() },
+        };
+        peers.tell_feed(feed);
+    }
+
+    /// Applies what watchers tell.
+    async fn follow_feeds(&self) {
         loop {
-            let wait = if self.lapsed.borrow().is_empty() { WATCH_WAIT } else { LAPSE_CHECK };
-            match self.platform.watch(kind, revision, wait).await {
-                Ok(changes) => {
-                    self.note_back();
-                    pause = RETRY_PAUSE;
-                    revision = changes.revision.max(revision);
-                    for change in changes.changes {
-                        self.apply(change, revision);
-                    }
-                    self.finish(kind, revision);
-                }
-                Err(Failure::HistoryGone) => return,
-                Err(error) => {
-                    self.note_lost(&error);
-                    self.gateway.timer().sleep(pause).await;
-                    pause = (pause * 2).min(LONGEST_RETRY_PAUSE);
+            for feed in self.gateway.peers().feeds().await {
+                match feed {
+                    Feed::Config { version } => self.take_config_feed(version).await,
+                    Feed::Targets { since, revision, changes } => self.take_targets_feed(since, revision, changes).await,
                 }
             }
         }
     }
 
+    async fn take_config_feed(&self, version: u64) {
+        if version > self.gateway.config_version() {
+            // The hosts that hear of a version at the same time do not all ask at the same time.
+            let pause = FETCH_SPREAD.mul_f64(rand::random());
+            self.gateway.timer().sleep(pause).await;
+            if let Some(address) = self.gateway.peers().with_newer_config(self.gateway.config_version()) {
+                fetch_config(&self.gateway, address).await;
+            }
+        }
+        if version > self.gateway.config_version() && let Err(error) = self.list(Kind::Config).await {
+            log::debug!("version {version} cannot be read: {error}");
+        }
+        if version <= self.gateway.config_version() {
+            self.freshness.borrow_mut().note(Kind::Config, self.gateway.now());
+        }
+    }
+
+    async fn take_targets_feed(&self, since: u64, revision: u64, changes: Vec<feed::Change>) {
+        let known = self.gateway.fleet_revision();
+        if since > known {
+            let pause = FETCH_SPREAD.mul_f64(rand::random());
+            self.gateway.timer().sleep(pause).await;
+            if let Some(address) = self.gateway.peers().with_newer_targets(self.gateway.fleet_revision()) {
+                fetch_targets(&self.gateway, address).await;
+            }
+        } else if revision > known {
+            for change in changes {
+                self.apply(store_change(change), revision);
+            }
+            self.finish(Kind::Targets, revision);
+        }
+        if revision <= self.gateway.fleet_revision() {
+            self.freshness.borrow_mut().note(Kind::Targets, self.gateway.now());
+        }
+    }
+
     fn finish(&self, kind: Kind, revision: u64) {
         if kind == Kind::Targets {
             self.gateway.set_fleet_revision(revision);
@@ -281,6 +401,22 @@
     }
 }
 
+/// Returns a change of a target as watchers tell it.
+fn feed_change(change: &Change) -> Option<feed::Change> {
+    match change {
+        Change::Put(Object::Target(target)) => Some(feed::Change::Put(target.clone())),
+        Change::Put(Object::Unusable(id)) | Change::Deleted(id) => Some(feed::Change::Gone(id.clone())),
+        Change::Put(Object::Config(_)) => None,
+    }
+}
+
+fn store_change(change: feed::Change) -> Change {
+    match change {
+        feed::Change::Put(target) => Change::Put(Object::Target(target)),
+        feed::Change::Gone(id) => Change::Deleted(id),
+    }
+}
+
 async fn fetch_config(gateway: &Gateway, address: SocketAddr) {
     if let Some(config) = fetch::<Config>(gateway, address, CONFIG_PATH).await {
         gateway.put_config(config, "peer");
