--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -22,6 +22,8 @@
 const REPORT_LIFETIME: Duration = Duration::from_millis(600);
 /// The load of a peer that has told nothing for this long is dropped.
 const PEER_LIFETIME: Duration = Duration::from_secs(5);
+/// How long a removed target is remembered; a server that leaves ends within this time.
+const GONE_LIFETIME: Duration = Duration::from_secs(60);
 /// The tokens that an engine prefills in one millisecond.
 const PREFILL_TOKENS_PER_MS: f64 = 8.0;
 /// The delay that one running stream adds to others, in milliseconds of prefill.
@@ -68,6 +70,8 @@
     failures: HashMap<(String, String), VecDeque<(Instant, String)>>,
     data_centres: HashMap<(String, String), Instant>,
     peers: HashMap<String, Peer>,
+    /// Targets that were removed, with the time; what a peer still tells of them is old.
+    gone: HashMap<String, Instant>,
     random: SmallRng,
 }
 
@@ -99,12 +103,14 @@
             failures: HashMap::new(),
             data_centres: HashMap::new(),
             peers: HashMap::new(),
+            gone: HashMap::new(),
             random: SmallRng::seed_from_u64(seed),
         }
     }
 
     /// Adds a target or replaces what is known of it; another life of it starts without load and trouble.
     pub fn put(&mut self, target: Target) {
+        self.gone.remove(&target.id);
         if let Some(member) = self.members.get_mut(&target.id)
             && member.target.is_same_life(&target)
         {
@@ -126,13 +132,17 @@
         self.members.insert(member.target.id.clone(), member);
     }
 
-    /// Adds a target that the store does not list yet.
-    pub fn put_unlisted(&mut self, now: Instant, target: Target) {
+    /// Adds a target that the store does not list yet, unless it is known or was removed; returns whether it was added.
+    pub fn put_unlisted(&mut self, now: Instant, target: Target) -> bool {
+        if self.members.contains_key(&target.id) || self.gone.contains_key(&target.id) {
+            return false;
+        }
         let id = target.id.clone();
         self.put(target);
         if let Some(member) = self.members.get_mut(&id) {
             member.unlisted_since = Some(now);
         }
+        true
     }
 
     /// Returns the targets that the store does not list although they were found before `limit`.
@@ -156,8 +166,10 @@
     }
 
     /// Removes a target.
-    pub fn remove(&mut self, id: &str) {
+    pub fn remove(&mut self, now: Instant, id: &str) {
+        self.gone.retain(|_, at| now.since(*at) < GONE_LIFETIME);
         self.members.remove(id);
+        self.gone.insert(id.to_owned(), now);
     }
 
     /// Returns the target with this id.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -18,9 +18,12 @@
 use crate::peers::Peers;
 use crate::route::Table;
 use crate::settings::Settings;
-use crate::successor;
+use crate::successor::{self, Replaced};
 use crate::target::Target;
 
+/// How long a replaced target is remembered for the case that the store turns out to be away.
+const REPLACED_LIFETIME: Duration = Duration::from_secs(5);
+
 /// The shared state of a process; one loop on one thread runs all parts.
 pub struct Gateway {
     settings: Settings,
@@ -31,6 +34,8 @@
     fleet: RefCell<Fleet>,
     fleet_revision: Cell<u64>,
     is_fleet_known: Cell<bool>,
+    is_store_away: Cell<bool>,
+    replaced: RefCell<Vec<Replaced>>,
     budget: RefCell<Budget>,
     peers: Peers,
     phase: watch::Sender<Phase>,
@@ -81,6 +86,8 @@
             fleet: RefCell::new(Fleet::new(rand::random())),
             fleet_revision: Cell::default(),
             is_fleet_known: Cell::default(),
+            is_store_away: Cell::default(),
+            replaced: RefCell::default(),
             budget: RefCell::new(Budget::new(settings.limits.repeats)),
             peers: Peers::new(&settings),
             phase: watch::Sender::new(Phase::Running),
@@ -245,7 +252,7 @@
         .log();
     }
 
-    /// Notes that another incarnation answers at a target's address, and looks who it is, because the store lists it only some time later.
+    /// Notes that another incarnation answers at a target's address, and looks who it is while the store cannot tell.
     pub(crate) fn note_replaced(self: &Rc<Self>, target: &Rc<Target>, instance: Option<&str>) {
         self.fleet.borrow_mut().note_replaced(&target.id);
         self.peers.tell_replaced(&target.id, None);
@@ -255,8 +262,31 @@
             what: "another incarnation answers at the target's address",
         }
         .log();
-        if let Some(instance) = instance {
+        let Some(instance) = instance else {
+            return;
+        };
+        if self.is_store_away.get() {
             successor::look_up(self, target, instance);
+            return;
+        }
+        // The store lists the other incarnation within a second, unless it has just gone away.
+        let now = self.now();
+        let mut replaced = self.replaced.borrow_mut();
+        replaced.retain(|known| now.since(known.at) < REPLACED_LIFETIME);
+        replaced.push(Replaced {
+            target: Rc::clone(target),
+            instance: instance.to_owned(),
+            at: now,
+        });
+    }
+
+    /// Notes whether the store answers any host that this one hears; while it does not, successors are looked up.
+    pub(crate) fn set_store_away(self: &Rc<Self>, is_away: bool) {
+        if self.is_store_away.replace(is_away) || !is_away {
+            return;
+        }
+        for replaced in self.replaced.take() {
+            successor::look_up(self, &replaced.target, &replaced.instance);
         }
     }
 
--- a/crates/gateway/src/successor.rs
+++ b/crates/gateway/src/successor.rs
@@ -1,4 +1,4 @@
-//! Engines that restarted and that the store does not list yet, or cannot list because it is away.
+//! Engines that restarted while the store is away, so that it cannot list them.
 //!
 //! A target that answers for another incarnation names the incarnation. It is used when it is an engine and only one
 //! service has engines, because then it belongs to that service; an address can pass to a server of another service.
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hawthornpost_core::clock::Instant;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::header::HOST;
@@ -21,6 +22,17 @@
 /// The largest answer.
 const ANSWER_BYTES: usize = 256 << 10;
 
+/// A target at whose address another incarnation answered.
+#[derive(Debug)]
+pub(crate) struct Replaced {
+    /// The target.
+    pub target: Rc<Target>,
+    /// The id of the other incarnation.
+    pub instance: String,
+    /// When it answered.
+    pub at: Instant,
+}
+
 /// Asks the address of a replaced target whether it is an engine of the same service, and uses it when it is.
 pub(crate) fn look_up(gateway: &Rc<Gateway>, before: &Rc<Target>, instance: &str) {
     if gateway.table().only_engine_service() != Some(before.service.as_str()) {
@@ -46,18 +58,17 @@
 
 /// Uses an engine that the store does not list.
 pub(crate) fn put(gateway: &Gateway, successor: Target, before: &str) {
-    let mut fleet = gateway.fleet().borrow_mut();
-    if fleet.get(&successor.id).is_some() {
+    let (id, address) = (successor.id.clone(), successor.address.to_string());
+    if !gateway.fleet().borrow_mut().put_unlisted(gateway.now(), successor) {
         return;
     }
     Event::SuccessorFound {
-        target: &successor.id,
-        address: &successor.address.to_string(),
+        target: &id,
+        address: &address,
         before,
         what: "an engine that the store does not list yet takes work",
     }
     .log();
-    fleet.put_unlisted(gateway.now(), successor);
 }
 
 async fn is_engine(gateway: &Gateway, target: &Target) -> bool {
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -340,6 +340,9 @@
     }
 
     fn note_lost(&self, error: &Failure) {
+        if self.freshness.borrow_mut().left(Kind::Targets, self.gateway.now()).is_zero() {
+            self.gateway.set_store_away(true);
+        }
         if self.link.lost_at.get().is_some() {
             return;
         }
@@ -353,6 +356,7 @@
     }
 
     fn note_back(&self) {
+        self.gateway.set_store_away(false);
         let Some(lost) = self.link.lost_at.take() else {
             return;
         };
@@ -489,7 +493,7 @@
 }
 
 fn remove_target(gateway: &Gateway, target: &Target, revision: u64) {
-    gateway.fleet().borrow_mut().remove(&target.id);
+    gateway.fleet().borrow_mut().remove(gateway.now(), &target.id);
     Event::TargetChanged {
         target: &target.id,
         service: &target.service,
