Copy a running stream again when its backup has failed

Ruled out: slow detection (0.24 s). Left: a stream in its first 0.2 s, whose engine has sent nothing to the backup yet.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -86,6 +86,12 @@
     /// Decodes the head of a target's response.
     fn reply(&self, status: u16, headers: &HeaderMap) -> Reply;
 
+    /// Returns path and body of the call that copies a run to another engine while it goes on.
+    fn copy(&self, request: &str, target: SocketAddr) -> (&'static str, Vec<u8>);
+
+    /// Decodes the answer to [`Dialect::copy`] and returns the handle of the copy.
+    fn copy_handle(&self, body: &[u8]) -> Option<String>;
+
     /// Returns the path at which an engine reports its state.
     fn engine_state_path(&self) -> &'static str;
 
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -103,6 +103,8 @@
     963 Warn StreamBroken { request: &'a str, route: &'a str, target: &'a str, attempts: u32, last_event: u64, reason: &'a str, took_ms: u64 }
     /// The client left before the answer was complete.
     964 Info ClientLeft { request: &'a str, route: &'a str, took_ms: u64 }
+    /// A stream has a copy at another engine again.
+    965 Info StreamCopied { request: &'a str, from: &'a str, to: &'a str }
 }
 
 impl Event<'_> {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 //! | [`target`] | targets as the platform lists them |
 
 mod answer;
+mod backup;
 mod body;
 pub mod budget;
 pub mod config;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -12,6 +12,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::answer;
+use crate::backup::{self, Backup, Copier};
 use crate::body::{Body, Part, Task};
 use crate::dialect::{Send, Source};
 use crate::event::Event;
@@ -75,6 +76,7 @@
         runs: 0,
         events: 0,
         backup: None,
+        copier: Copier::default(),
         first_at: None,
         last_at: Instant::ZERO,
         longest_pause: Duration::ZERO,
@@ -115,7 +117,8 @@
 /// Where an attempt goes.
 struct Attempt {
     target: Rc<Target>,
-    from_backup: bool,
+    /// The copy from which the stream goes on.
+    backup: Option<Backup>,
 }
 
 struct Run {
@@ -128,7 +131,8 @@
     runs: u32,
     last_event: Option<u64>,
     events: u64,
-    backup: Option<Rc<Target>>,
+    backup: Option<Backup>,
+    copier: Copier,
     first_at: Option<Instant>,
     last_at: Instant,
     longest_pause: Duration,
@@ -162,7 +166,7 @@
                 Outcome::Other(response) => return self.send_other(response),
                 Outcome::NotRun(reason) => {
                     self.note_failure(target, &reason, "no", took_ms);
-                    if !attempt.from_backup {
+                    if attempt.backup.is_none() {
                         self.excluded.push(target.id.clone());
                     }
                     if failed.is_none() && self.events > 0 {
@@ -202,13 +206,19 @@
 
     /// Chooses the backup of the failed attempt, or the best engine; waits a little when there is none.
     async fn next_attempt(&mut self) -> Option<Attempt> {
-        if let Some(target) = self.backup.take()
-            && self.gateway.fleet().borrow().is_usable(self.gateway.now(), &target.id)
-        {
-            return Some(Attempt {
-                target,
-                from_backup: true,
-            });
+        let copies = [self.backup.take(), self.copier.take()];
+        for backup in copies.into_iter().flatten() {
+            if self
+                .gateway
+                .fleet()
+                .borrow()
+                .is_usable(self.gateway.now(), &backup.target.id)
+            {
+                return Some(Attempt {
+                    target: Rc::clone(&backup.target),
+                    backup: Some(backup),
+                });
+            }
         }
         let started = self.gateway.now();
         loop {
@@ -220,10 +230,7 @@
                 .borrow_mut()
                 .choose_stream(now, &self.job.service, &self.excluded, need);
             if let Some(target) = chosen {
-                return Some(Attempt {
-                    target,
-                    from_backup: false,
-                });
+                return Some(Attempt { target, backup: None });
             }
             if now.since(started) >= CHOICE_LIMIT || self.job.left(&self.gateway).is_zero() {
                 return None;
@@ -237,12 +244,15 @@
     async fn attempt(&mut self, attempt: &Attempt) -> Outcome {
         let target = &attempt.target;
         let need = self.need();
-        let prefill = if attempt.from_backup { 0 } else { need.prompt_tokens };
+        let prefill = if attempt.backup.is_some() {
+            0
+        } else {
+            need.prompt_tokens
+        };
         let mut hold = self.gateway.hold(&target.id, Load::stream(prefill, need.memory_tokens));
+        let id = self.job.call.id.clone();
         let backup = self.choose_backup(target, need);
-        let _backup_hold = backup
-            .as_ref()
-            .map(|backup| self.gateway.hold(&backup.id, Load::backup(need.memory_tokens)));
+        let backup = backup.map(|backup| Backup::growing(&self.gateway, backup, &id, need));
         let connected = Connection::open(target.address, CONNECT_LIMIT).await;
         let mut connection = match connected {
             Ok(connection) => connection,
@@ -251,15 +261,14 @@
                 return Outcome::NotRun(error.to_string());
             }
         };
-        let id = self.job.call.id.clone();
         let send = Send {
             instance: &target.id,
             left: self.job.left(&self.gateway),
             account: self.job.account.as_ref().map(|account| account.name.as_str()),
-            backup: backup.as_ref().map(|backup| backup.address),
-            source: attempt.from_backup.then_some(Source {
-                address: target.address,
-                id: &id,
+            backup: backup.as_ref().map(|backup| backup.target.address),
+            source: attempt.backup.as_ref().map(|backup| Source {
+                address: backup.address,
+                id: &backup.id,
             }),
             last_event: self.last_event,
         };
@@ -345,7 +354,7 @@
     /// Forwards the events of one engine.
     async fn forward(
         &mut self,
-        target: &Target,
+        target: &Rc<Target>,
         hold: &mut Hold,
         mut headers: HeaderMap,
         mut body: Incoming,
@@ -396,6 +405,7 @@
                     continue;
                 }
                 self.last_event = event.id.or(self.last_event);
+                self.keep_backup(target);
                 if !self.pass_on(&mut headers, event.bytes).await {
                     return Outcome::Done;
                 }
@@ -403,6 +413,26 @@
         }
     }
 
+    /// Has the run copied elsewhere when its backup has failed.
+    fn keep_backup(&mut self, target: &Rc<Target>) {
+        let has_failed = self.backup.as_ref().is_some_and(|backup| {
+            let fleet = self.gateway.fleet().borrow();
+            let id = &backup.target.id;
+            fleet.is_suspect(self.gateway.now(), id) || !fleet.is_usable(self.gateway.now(), id)
+        });
+        if !has_failed {
+            return;
+        }
+        self.backup = None;
+        let run = backup::Run {
+            source: Rc::clone(target),
+            request: self.job.call.id.clone(),
+            need: self.need(),
+            excluded: self.excluded.clone(),
+        };
+        self.copier.start(&self.gateway, run);
+    }
+
     /// Passes an event to the caller; returns whether the caller is still there.
     async fn pass_on(&mut self, headers: &mut HeaderMap, bytes: Bytes) -> bool {
         let now = self.gateway.now();
@@ -472,7 +502,7 @@
             from,
             to: &attempt.target.id,
             last_event: self.last_event.unwrap_or_default(),
-            source: if attempt.from_backup { "backup" } else { "prompt" },
+            source: if attempt.backup.is_some() { "backup" } else { "prompt" },
             silent_ms: millis(silent),
             what: "a stream goes on at another engine",
         }
