Explain a request afterwards: bounded logs, metrics, hawthornpost trace, pages

The lines of a request were there, but a storm could fill the log, no counter was served, and an operator had to search by hand.

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -55,6 +55,8 @@
     Dump(Dump),
     #[options(help = "send a request for a generation and print the answer")]
     Send(Send),
+    #[options(help = "follow one request through the logs on standard input")]
+    Trace(Trace),
     #[options(help = "print the blake3 hash of a key for rules and settings")]
     HashKey(HashKey),
 }
@@ -214,6 +216,15 @@
     pub(crate) patience: u64,
 }
 
+/// Reads log lines of gateways from standard input and prints those that explain one request, in the order of time.
+#[derive(Debug, Options)]
+pub(crate) struct Trace {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, required, help = "id of the request")]
+    pub(crate) request: String,
+}
+
 /// Reads a key from standard input and prints its hash.
 #[derive(Debug, Options)]
 pub(crate) struct HashKey {
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -30,6 +30,10 @@
     Contradiction { source: hawthornpost_core::Error },
     #[error("cannot read standard input: {source}; pass UTF-8 text")]
     Input { source: io::Error },
+    #[error(
+        "no line of the input names request {request}; pass the logs of all entry hosts, of the time of the request"
+    )]
+    NoLine { request: String },
     #[error("cannot write the output: {source}; check where it goes")]
     Output { source: io::Error },
     #[error("no address of an entry host is given; use `--entry IP:PORT` or HAWTHORNPOST_ENTRIES")]
@@ -83,7 +87,11 @@
             | Kind::Generation { .. }
             | Kind::NoResume { .. } => 1,
             Kind::NoEntry | Kind::Address { .. } | Kind::Key => 2,
-            Kind::Input { .. } | Kind::Read { .. } | Kind::Invalid { .. } | Kind::Contradiction { .. } => 3,
+            Kind::NoLine { .. }
+            | Kind::Input { .. }
+            | Kind::Read { .. }
+            | Kind::Invalid { .. }
+            | Kind::Contradiction { .. } => 3,
             Kind::Conflict { .. } => 4,
             Kind::Unreachable { .. } => 5,
             Kind::Access { .. } => 6,
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -14,6 +14,7 @@
 mod rollout;
 mod send;
 mod sse;
+mod trace;
 
 use std::process::ExitCode;
 
@@ -74,6 +75,7 @@
         match command {
             Command::Validate(verb) => verb.run(&session),
             Command::Import(verb) => verb.run(&session),
+            Command::Trace(verb) => verb.run(&session),
             Command::HashKey(_) => offline::hash_key(&session),
             Command::Diff(verb) => verb.run(&session).await,
             Command::Apply(verb) => verb.run(&session).await,
--- a/crates/cli/tests/offline.rs
+++ b/crates/cli/tests/offline.rs
@@ -47,6 +47,32 @@
     assert_eq!(stdout(&output).trim(), expected.as_str());
 }
 
+/// Guards against a trace that leaves out the lines that explain a request, or shows those of others.
+#[test]
+fn a_request_is_traced_through_the_logs_of_several_hosts() {
+    let logs = concat!(
+        r#"10.1 edge-2 {"time":"2026-01-01T00:00:03.000Z","entry":"edge-2","event":963,"request":"r1","route":"letters","took_ms":2000,"reason":"no engine","what":"a stream broke off"}"#,
+        "\n",
+        r#"{"time":"2026-01-01T00:00:02.000Z","entry":"edge-2","event":954,"request":"r1","target":"i-7","reason":"silent","took_ms":900,"what":"an attempt gave no usable answer"}"#,
+        "\n",
+        r#"{"time":"2026-01-01T00:00:01.500Z","entry":"edge-1","event":942,"target":"i-7","what":"a target failed"}"#,
+        "\n",
+        r#"{"time":"2026-01-01T00:00:01.600Z","entry":"edge-2","event":911,"dependency":"store","what":"no answer"}"#,
+        "\n",
+        r#"{"time":"2026-01-01T00:00:01.700Z","entry":"edge-1","event":942,"target":"i-8","what":"another target failed"}"#,
+        "\nnot JSON\n",
+    );
+    let output = run(&["trace", "r1"], logs);
+    let events = stdout(&output)
+        .lines()
+        .map(|line| line.split(' ').nth(2).unwrap().to_owned())
+        .collect::<Vec<_>>();
+    assert_eq!(events, ["942", "911", "954", "963"]);
+    let output = run(&["trace", "r2"], logs);
+    assert_eq!(output.status.code(), Some(3));
+    assert!(stderr(&output).contains("pass the logs of all entry hosts"));
+}
+
 #[test_case(&[]; "all verbs")]
 #[test_case(&["validate"]; "validate")]
 #[test_case(&["import"]; "import")]
@@ -58,6 +84,7 @@
 #[test_case(&["rollout", "show"]; "rollout show")]
 #[test_case(&["drain"]; "drain")]
 #[test_case(&["dump"]; "dump")]
+#[test_case(&["trace"]; "trace")]
 #[test_case(&["send"]; "send")]
 #[test_case(&["hash-key"]; "hash-key")]
 fn every_verb_has_help(verb: &[&str]) {
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -10,12 +10,14 @@
 use crate::answer;
 use crate::body::Body;
 use crate::gateway::Gateway;
+use crate::metric;
 use crate::sync::{CONFIG_PATH, TARGETS_PATH, Targets};
 
 /// The longest lifetime of an answer to a caller. A short one moves callers away from a host soon after it has died.
 const OFFER_LIFETIME: Duration = Duration::from_secs(2);
 
 const JSON: &str = "application/json";
+const METRICS: &str = "text/plain; version=0.0.4";
 
 /// Answers a readiness probe.
 pub(crate) fn readiness(gateway: &Gateway, path: &str) -> Response<Body> {
@@ -70,6 +72,7 @@
 /// Answers with the metrics or the state dump.
 pub(crate) fn metrics(gateway: &Gateway, path: &str) -> Response<Body> {
     match path {
+        "/metrics" => page(METRICS, metric::render(gateway).into_bytes()),
         "/v1/dump" => json_page(&dump(gateway)),
         _ => answer::own(StatusCode::NOT_FOUND, "no such page; see docs/OPERATIONS.md"),
     }
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -2,9 +2,15 @@
 //!
 //! Operators search logs and set alarms by number. `docs/events.md` lists the events; a test keeps both equal.
 
+use std::cell::RefCell;
+use std::time::Instant;
+
 use log::Level;
 use serde::Serialize;
 
+use crate::log_limit::Limit;
+use crate::metric;
+
 /// The key under which a log record carries the number.
 pub(crate) const NUMBER_KEY: &str = "event";
 
@@ -69,6 +75,8 @@
     904 Info Reloaded { outcome: &'a str }
     /// Lines of the log were dropped because nobody read it.
     905 Warn LinesDropped { count: u64 }
+    /// Lines of the log were omitted because there were too many.
+    906 Warn LinesOmitted { count: u64 }
     /// A dependency does not answer.
     911 Warn DependencyLost { dependency: &'a str, error: &'a str }
     /// A dependency answers again.
@@ -107,11 +115,21 @@
     965 Info StreamCopied { request: &'a str, from: &'a str, to: &'a str }
 }
 
+thread_local! {
+    static LIMIT: RefCell<Limit> = RefCell::default();
+}
+
+/// Returns how many lines were omitted since the last call because there were too many.
+pub(crate) fn take_omitted() -> u64 {
+    LIMIT.with_borrow_mut(Limit::take_omitted)
+}
+
 impl Event<'_> {
     /// Writes the event to the log.
     pub fn log(&self) {
         let (number, level) = self.number();
-        if level > log::max_level() {
+        metric::note(self);
+        if level > log::max_level() || !LIMIT.with_borrow_mut(|limit| limit.admit(Instant::now(), level)) {
             return;
         }
         let fields = serde_json::to_string(self).unwrap_or_default();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,7 +14,9 @@
 //! | [`fleet`] | targets, their load and trouble, the choice among them |
 //! | [`gateway`] | shared state of a process |
 //! | [`load`] | work at a target |
+//! | [`log_limit`] | how many lines are logged |
 //! | [`logging`] | log output |
+//! | [`metric`] | metrics |
 //! | [`outbound`] | connections to others |
 //! | [`peers`] | other entry hosts |
 //! | [`platform`] | the platform's store |
@@ -43,7 +45,9 @@
 mod job;
 mod listener;
 pub mod load;
+pub mod log_limit;
 pub mod logging;
+pub mod metric;
 pub mod outbound;
 pub mod peers;
 pub mod platform;
--- /dev/null
+++ b/crates/gateway/src/metric.rs
@@ -0,0 +1,155 @@
+//! Metrics in the text format of Prometheus.
+
+use std::sync::OnceLock;
+use std::time::Duration;
+
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+
+use crate::event::Event;
+use crate::gateway::Gateway;
+
+/// Requests by route, account and outcome.
+pub const REQUESTS: &str = "hawthornpost_gateway_requests_total";
+/// Time from the head of a request to its answer, by route; for streams, to the first event.
+pub const REQUEST_SECONDS: &str = "hawthornpost_gateway_request_seconds";
+/// Longest pause between the events of a stream.
+pub const PAUSE_SECONDS: &str = "hawthornpost_gateway_stream_pause_seconds";
+/// Streams that went on at another engine, by what they went on from.
+pub const CONTINUED: &str = "hawthornpost_gateway_streams_continued_total";
+/// Attempts that gave no usable answer, by whether the request ran.
+pub const ATTEMPTS_FAILED: &str = "hawthornpost_gateway_attempts_failed_total";
+/// Refused requests by status.
+pub const REFUSED: &str = "hawthornpost_gateway_refused_total";
+/// Log events by number.
+pub const EVENTS: &str = "hawthornpost_gateway_events_total";
+/// The version of the configuration in force.
+pub const CONFIG_VERSION: &str = "hawthornpost_gateway_config_version";
+/// The store's revision of the known targets.
+pub const TARGETS_REVISION: &str = "hawthornpost_gateway_targets_revision";
+/// Known targets.
+pub const TARGETS: &str = "hawthornpost_gateway_targets";
+/// Live entry hosts, this one included.
+pub const HOSTS: &str = "hawthornpost_gateway_hosts";
+/// Open requests.
+pub const OPEN: &str = "hawthornpost_gateway_open_requests";
+/// Whether this host takes new work.
+pub const READY: &str = "hawthornpost_gateway_ready";
+
+/// All metrics with their descriptions; a test keeps `docs/OPERATIONS.md` equal.
+pub const DESCRIPTIONS: &[(&str, &str)] = &[
+    (REQUESTS, "requests by route, account and outcome"),
+    (
+        REQUEST_SECONDS,
+        "seconds to the answer by route; for streams, to the first event",
+    ),
+    (
+        PAUSE_SECONDS,
+        "longest pause between the events of a stream, in seconds",
+    ),
+    (CONTINUED, "streams that went on at another engine, by source"),
+    (
+        ATTEMPTS_FAILED,
+        "attempts without a usable answer, by whether the request ran",
+    ),
+    (REFUSED, "refused requests by status"),
+    (EVENTS, "log events by number, written or not"),
+    (CONFIG_VERSION, "version of the configuration in force"),
+    (
+        TARGETS_REVISION,
+        "revision of the store as of which the targets are known",
+    ),
+    (TARGETS, "known targets"),
+    (HOSTS, "live entry hosts, this one included"),
+    (OPEN, "open requests"),
+    (READY, "1 when this host takes new work, otherwise 0"),
+];
+
+/// The time between two rounds of upkeep; until then histograms keep every sample.
+pub(crate) const UPKEEP_PERIOD: Duration = Duration::from_secs(5);
+/// The upper bounds of the histograms, in seconds.
+const BUCKETS: &[f64] = &[0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.7, 1.0, 1.5, 2.5, 4.5, 10.0, 25.0];
+
+static RECORDER: OnceLock<PrometheusHandle> = OnceLock::new();
+
+/// Starts to record for the process; without a recorder, counting does nothing.
+pub(crate) fn start() {
+    let builder = PrometheusBuilder::new().set_buckets(BUCKETS);
+    match builder.map(PrometheusBuilder::install_recorder) {
+        Ok(Ok(handle)) => {
+            RECORDER.get_or_init(|| handle);
+        }
+        Ok(Err(error)) | Err(error) => log::error!(target: "hawthornpost", "{{\"error\":\"no metrics: {error}\"}}"),
+    }
+    for (name, text) in DESCRIPTIONS {
+        metrics::describe_counter!(*name, *text);
+    }
+}
+
+/// Merges samples of histograms.
+pub(crate) fn upkeep() {
+    if let Some(handle) = RECORDER.get() {
+        handle.run_upkeep();
+    }
+}
+
+/// Counts what an event says.
+pub(crate) fn note(event: &Event<'_>) {
+    metrics::counter!(EVENTS, "event" => event.number().0.to_string()).increment(1);
+    match *event {
+        Event::Answered {
+            route,
+            account,
+            took_ms,
+            status,
+            ..
+        } => {
+            let outcome = if status < 400 { "answered" } else { "error" };
+            count_request(route, account, outcome);
+            observe(REQUEST_SECONDS, route, took_ms);
+        }
+        Event::StreamDone {
+            route,
+            account,
+            first_ms,
+            longest_pause_ms,
+            ..
+        } => {
+            count_request(route, account, "answered");
+            observe(REQUEST_SECONDS, route, first_ms);
+            observe(PAUSE_SECONDS, route, longest_pause_ms);
+        }
+        Event::Failed { route, .. } => count_request(route, "", "failed"),
+        Event::StreamBroken { route, .. } => count_request(route, "", "broken"),
+        Event::ClientLeft { route, .. } => count_request(route, "", "client left"),
+        Event::Refused { status, .. } => metrics::counter!(REFUSED, "status" => status.to_string()).increment(1),
+        Event::AttemptFailed { ran, .. } => metrics::counter!(ATTEMPTS_FAILED, "ran" => ran.to_owned()).increment(1),
+        Event::StreamContinued { source, .. } => {
+            metrics::counter!(CONTINUED, "source" => source.to_owned()).increment(1);
+        }
+        _ => {}
+    }
+}
+
+fn count_request(route: &str, account: &str, outcome: &'static str) {
+    let labels = [
+        ("route", route.to_owned()),
+        ("account", account.to_owned()),
+        ("outcome", outcome.to_owned()),
+    ];
+    metrics::counter!(REQUESTS, &labels).increment(1);
+}
+
+fn observe(name: &'static str, route: &str, millis: u64) {
+    metrics::histogram!(name, "route" => route.to_owned()).record(Duration::from_millis(millis).as_secs_f64());
+}
+
+/// Returns the page.
+pub(crate) fn render(gateway: &Gateway) -> String {
+    metrics::gauge!(CONFIG_VERSION).set(gateway.config_version() as f64);
+    metrics::gauge!(TARGETS_REVISION).set(gateway.fleet_revision() as f64);
+    metrics::gauge!(TARGETS).set(gateway.fleet().borrow().targets().count() as f64);
+    metrics::gauge!(HOSTS).set(gateway.peers().live_hosts() as f64);
+    metrics::gauge!(OPEN).set(gateway.open_requests() as f64);
+    metrics::gauge!(READY).set(f64::from(u8::from(gateway.is_ready())));
+    RECORDER.get().map(PrometheusHandle::render).unwrap_or_default()
+}
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -8,10 +8,11 @@
 
 use crate::dialect::Dialect;
 use crate::error::{Kind, Result};
-use crate::event::Event;
+use crate::event::{self, Event};
 use crate::gateway::{Gateway, Phase};
 use crate::listener::{self, Purpose};
 use crate::logging::{self, Buffer};
+use crate::metric;
 use crate::peers;
 use crate::platform::Platform;
 use crate::settings::Settings;
@@ -50,6 +51,7 @@
 ) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate()).map_err(|source| Kind::Runtime { source })?;
     let mut reload = signal(SignalKind::hangup()).map_err(|source| Kind::Runtime { source })?;
+    metric::start();
     let gateway = Gateway::new(settings, dialect);
     let driver = Rc::clone(&gateway);
     tokio::task::spawn_local(async move { driver.timer().run().await });
@@ -125,6 +127,7 @@
 }
 
 async fn write_logs(gateway: &Gateway, buffer: &Buffer) {
+    let mut upkeep = gateway.now();
     loop {
         gateway.timer().sleep(LOG_PERIOD).await;
         write_log(buffer);
@@ -133,6 +136,15 @@
             let what = "lines of the log were dropped because they were not read in time";
             Event::LinesDropped { count, what }.log();
         }
+        let count = event::take_omitted();
+        if count > 0 {
+            let what = "lines of the log were omitted because there were too many in a second";
+            Event::LinesOmitted { count, what }.log();
+        }
+        if gateway.now().since(upkeep) >= metric::UPKEEP_PERIOD {
+            upkeep = gateway.now();
+            metric::upkeep();
+        }
     }
 }
 
