Share the budget of repeats between hosts and bound what hosts tell each other

With many hosts, loads were told up to 25 times a second to each of them, some 5 Mbit/s on links of 10 Mbit/s, and all hosts asked the watchers for a new configuration at once; probes of engines then timed out. Ruled out: engines that were down (most answered the next connection).

Hosts tell each other what they used; the gap between loads and the spread of questions grow with the number of hosts; a failed target is told once; copies are freed when their stream ends; a host that has known no configuration since its start tells callers to return after as long again.

--- a/crates/gateway/src/backup.rs
+++ b/crates/gateway/src/backup.rs
@@ -59,6 +59,25 @@
     }
 }
 
+impl Backup {
+    /// Frees a copy that was made by a call, at both ends.
+    async fn free(self, gateway: &Gateway) {
+        let path = gateway.dialect().copy_path(&self.id);
+        let request = Request::delete(path).header(HOST, self.address.to_string());
+        let Ok(request) = request.body(Full::<Bytes>::default()) else {
+            return;
+        };
+        let exchange = async {
+            let mut connection = Connection::open(self.address, CONNECT_LIMIT).await?;
+            connection.exchange(request, ANSWER_BYTES).await
+        };
+        // The engine drops the copy by itself some seconds later.
+        if let Some(Err(error)) = gateway.timer().limit(COPY_LIMIT, exchange).await {
+            log::debug!("a copy at {} is not freed: {error}", self.target.id);
+        }
+    }
+}
+
 /// Keeps a copy of one run at another engine after its first backup has failed.
 #[derive(Debug, Default)]
 pub(crate) struct Copier {
@@ -78,6 +97,15 @@
         })));
     }
 
+    /// Stops and frees the newest copy, because the run has ended.
+    pub(crate) fn free(&mut self, gateway: &Rc<Gateway>) {
+        let Some(backup) = self.take() else {
+            return;
+        };
+        let gateway = Rc::clone(gateway);
+        tokio::task::spawn_local(async move { backup.free(&gateway).await });
+    }
+
     /// Returns the newest copy and stops.
     pub(crate) fn take(&mut self) -> Option<Backup> {
         self.task = None;
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -1,15 +1,24 @@
 //! The budget of repeated sends that all entry hosts share.
 //!
-//! Each host takes its part of the fixed allowance; the part that grows with requests follows from the host's own
-//! requests. Both are counted in a sliding window, so no window of that length holds more than is allowed.
+//! Each host may use its part of the fixed allowance and what its own requests pay for. Failures are not spread evenly
+//! over hosts, so a host may go beyond that while all hosts together, by what they tell each other, have used less than
+//! most of it. All counts are of a sliding window, so no window of that length holds more than is allowed.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
 use hawthornpost_core::clock::Instant;
+use serde::{Deserialize, Serialize};
 
 /// The part of the allowance that is used; the rest absorbs requests that are counted elsewhere at another time.
-const USABLE: f64 = 0.75;
+const USABLE: f64 = 0.85;
+
+/// The part of the whole allowance up to which a host may use more than its own part.
+const SHARED: f64 = 0.8;
+/// How many times its own part a host may use; bounds what many hosts use before they hear of each other.
+const MOST_PARTS: f64 = 8.0;
+/// The counts of a peer that has told nothing for this long are dropped.
+const PEER_LIFETIME: Duration = Duration::from_secs(5);
 
 /// How many repeated sends are allowed.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -27,6 +36,18 @@
 pub struct Budget {
     allowance: Allowance,
     services: HashMap<String, Counts>,
+    peers: HashMap<String, (Instant, BTreeMap<String, Used>)>,
+}
+
+/// What a host counted in the last window. The short field names keep messages small.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Used {
+    /// Requests.
+    #[serde(rename = "q")]
+    pub requests: u32,
+    /// Repeated sends.
+    #[serde(rename = "r")]
+    pub repeats: u32,
 }
 
 #[derive(Debug, Default)]
@@ -41,6 +62,7 @@
         Self {
             allowance,
             services: HashMap::new(),
+            peers: HashMap::new(),
         }
     }
 
@@ -52,20 +74,46 @@
         drop_old(&mut counts.requests, now, window);
     }
 
+    /// Takes what a peer counted.
+    pub fn set_peer(&mut self, now: Instant, peer: &str, used: BTreeMap<String, Used>) {
+        self.peers.insert(peer.to_owned(), (now, used));
+    }
+
+    /// Returns what this host counted, for the peers.
+    pub fn used(&mut self, now: Instant) -> BTreeMap<String, Used> {
+        let window = self.allowance.window;
+        let services = self.services.iter_mut();
+        services
+            .map(|(name, counts)| (name.clone(), counts.used(now, window)))
+            .collect()
+    }
+
     /// Returns whether a request may be sent once more, and counts it when it may.
     #[must_use = "a repeat that is not allowed must not be sent"]
     pub fn take_repeat(&mut self, now: Instant, service: &str, hosts: usize) -> bool {
         let Allowance { ratio, minimum, window } = self.allowance;
-        let counts = self.counts(service);
-        drop_old(&mut counts.requests, now, window);
-        drop_old(&mut counts.repeats, now, window);
-        let own_part = minimum / hosts.max(1) as f64;
-        let allowed = USABLE * (counts.requests.len() as f64).mul_add(ratio, own_part);
-        let has_room = (counts.repeats.len() as f64) < allowed;
-        if has_room {
-            counts.repeats.push_back(now);
+        let used = self.counts(service).used(now, window);
+        let part = USABLE * f64::from(used.requests).mul_add(ratio, minimum / hosts.max(1) as f64);
+        let all = self.used_by_all(now, service, used);
+        let whole = USABLE * f64::from(all.requests).mul_add(ratio, minimum);
+        let repeats = f64::from(used.repeats);
+        // A host that hears few others knows nothing of what they use.
+        let is_informed = 2 * (self.peers.len() + 1) >= hosts;
+        let is_shared = is_informed && f64::from(all.repeats) < SHARED * whole && repeats < MOST_PARTS * part;
+        let is_allowed = repeats < part || is_shared;
+        if is_allowed {
+            self.counts(service).repeats.push_back(now);
         }
-        has_room
+        is_allowed
+    }
+
+    fn used_by_all(&mut self, now: Instant, service: &str, own: Used) -> Used {
+        self.peers.retain(|_, (heard, _)| now.since(*heard) < PEER_LIFETIME);
+        let of_peers = self.peers.values().filter_map(|(_, services)| services.get(service));
+        of_peers.fold(own, |sum, used| Used {
+            requests: sum.requests + used.requests,
+            repeats: sum.repeats + used.repeats,
+        })
     }
 
     fn counts(&mut self, service: &str) -> &mut Counts {
@@ -76,6 +124,18 @@
     }
 }
 
+impl Counts {
+    fn used(&mut self, now: Instant, window: Duration) -> Used {
+        drop_old(&mut self.requests, now, window);
+        drop_old(&mut self.repeats, now, window);
+        let count = |times: &VecDeque<Instant>| u32::try_from(times.len()).unwrap_or(u32::MAX);
+        Used {
+            requests: count(&self.requests),
+            repeats: count(&self.repeats),
+        }
+    }
+}
+
 fn drop_old(times: &mut VecDeque<Instant>, now: Instant, window: Duration) {
     while times.front().is_some_and(|at| now.since(*at) > window) {
         times.pop_front();
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -92,6 +92,9 @@
     /// Decodes the answer to [`Dialect::copy`] and returns the handle of the copy.
     fn copy_handle(&self, body: &[u8]) -> Option<String>;
 
+    /// Returns the path whose deletion frees a copy.
+    fn copy_path(&self, handle: &str) -> String;
+
     /// Returns the path at which an engine reports its state.
     fn engine_state_path(&self) -> &'static str;
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -246,8 +246,11 @@
 
     /// Notes that a target failed, here and at the other hosts.
     pub(crate) fn suspect(&self, target: &Target, reason: &str) {
+        let was_usable = self.fleet.borrow().is_usable(self.now(), &target.id);
         let whole_data_centre = self.fleet.borrow_mut().suspect(self.now(), &target.id);
-        self.peers.tell_suspect(&target.id);
+        if was_usable {
+            self.peers.tell_suspect(&target.id);
+        }
         Event::TargetSuspected {
             target: &target.id,
             data_centre: &target.data_centre,
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -21,8 +21,10 @@
 use crate::route::{Table, pick_service};
 use crate::{exchange, headers, stream};
 
-/// When a caller may come back to a host that knows no configuration yet.
+/// When a caller may come back to a host that has just started and knows no configuration yet.
 const UNKNOWN_RETRY: Duration = Duration::from_millis(300);
+/// The longest such time.
+const LONGEST_UNKNOWN_RETRY: Duration = Duration::from_secs(3);
 /// When a caller may come back when the process holds too many request bodies.
 const MEMORY_RETRY: Duration = Duration::from_millis(500);
 /// The deadline of a request that names none.
@@ -122,7 +124,7 @@
     if table.version() == 0 {
         return Err(Rejection::later(
             "no configuration is known yet; try again",
-            UNKNOWN_RETRY,
+            unknown_retry(started.since_start()),
         ));
     }
     let (mut head, body) = request.into_parts();
@@ -164,6 +166,12 @@
     })
 }
 
+/// Returns when a caller may come back to a host that has known no configuration since its start: an outage of the store
+/// is expected to last as long again as it has lasted, and a caller that is refused twice may give up.
+fn unknown_retry(since_start: Duration) -> Duration {
+    since_start.clamp(UNKNOWN_RETRY, LONGEST_UNKNOWN_RETRY)
+}
+
 /// Rejects framing that another reader might understand differently, which would smuggle a request.
 fn check_framing(head: &Parts, framing: Option<Framing>) -> Result<(), Rejection> {
     if framing == Some(Framing::Ambiguous) || head.headers.get_all(HOST).iter().count() != 1 {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -17,6 +17,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
+use crate::budget::Used;
 use crate::error::{Kind, Result};
 use crate::event::Event;
 use crate::feed::{self, Candidate, Feed};
@@ -32,8 +33,11 @@
 const PROBE_LIMIT: Duration = Duration::from_millis(100);
 /// The largest datagram.
 const DATAGRAM_BYTES: usize = 60 << 10;
-/// Loads are told at most this often.
+/// Loads are told at most this often by a few hosts.
 const LOAD_GAP: Duration = Duration::from_millis(40);
+/// The part of that time for each host, so that what a host gets in a second does not grow with the number of hosts; links
+/// of 10 Mbit/s carry the events of streams beside it.
+const LOAD_GAP_PER_HOST: Duration = Duration::from_millis(4);
 /// Loads are told at least this often while there are any, so that a lost datagram does no lasting harm.
 const LOAD_REFRESH: Duration = Duration::from_secs(2);
 /// The longest sleep of the prober.
@@ -73,8 +77,12 @@
     },
     /// The sender's whole view of the members.
     View { members: Vec<Member> },
-    /// The sender's work at targets.
-    Loads { from: Entry, loads: BTreeMap<String, Load> },
+    /// The sender's work at targets, and its requests and repeats in the last window.
+    Loads {
+        from: Entry,
+        loads: BTreeMap<String, Load>,
+        used: BTreeMap<String, Used>,
+    },
     /// The sender saw a target fail.
     Suspect { target: String },
     /// The sender watches the store and tells what it saw.
@@ -390,8 +398,9 @@
                 let commands = self.peers().table.borrow_mut().merge(now, &members);
                 self.carry_out(commands);
             }
-            Datagram::Loads { from, loads } => {
+            Datagram::Loads { from, loads, used } => {
                 self.gateway.fleet().borrow_mut().set_peer(now, from.as_str(), loads);
+                self.gateway.budget().borrow_mut().set_peer(now, from.as_str(), used);
             }
             Datagram::Suspect { target } => {
                 self.gateway.fleet().borrow_mut().suspect(now, &target);
@@ -521,11 +530,14 @@
             let loads = self.gateway.fleet().borrow().own_loads();
             let is_empty = loads.is_empty();
             let from = self.peers().name.clone();
-            let datagram = Datagram::Loads { from, loads };
+            let used = self.gateway.budget().borrow_mut().used(self.gateway.now());
+            let datagram = Datagram::Loads { from, loads, used };
             for address in self.peers().others() {
                 self.send(address, &datagram);
             }
-            self.gateway.timer().sleep(LOAD_GAP).await;
+            let hosts = u32::try_from(self.peers().live_hosts()).unwrap_or(u32::MAX);
+            let gap = LOAD_GAP.max(LOAD_GAP_PER_HOST * hosts);
+            self.gateway.timer().sleep(gap).await;
             let wake = self.peers().loads.notified();
             if is_empty {
                 wake.await;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -529,6 +529,7 @@
 
     fn finish(&mut self, target: &Target) {
         self.is_over = true;
+        self.copier.free(&self.gateway);
         // The receiver is gone only when the caller has left.
         let _is_taken = self.parts.try_send(Part::End);
         let first = self.first_at.unwrap_or(self.job.started);
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -29,8 +29,10 @@
 const GROUP_PAUSE: Duration = Duration::from_millis(100);
 /// The most changes in one datagram.
 const FEED_CHANGES: usize = 24;
-/// The time over which hosts spread their questions to peers.
-const FETCH_SPREAD: Duration = Duration::from_millis(150);
+/// The time over which hosts spread their questions to peers, for each host; a few watchers answer all of them.
+const FETCH_SPREAD_PER_HOST: Duration = Duration::from_millis(10);
+/// The longest such time.
+const LONGEST_FETCH_SPREAD: Duration = Duration::from_millis(800);
 /// The pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// The longest pause after failed calls.
@@ -236,11 +238,16 @@
         }
     }
 
+    /// Waits a random time, so that the hosts that hear of a change at the same time do not all ask at the same time.
+    async fn spread(&self) {
+        let hosts = u32::try_from(self.gateway.peers().live_hosts()).unwrap_or(u32::MAX);
+        let most = (FETCH_SPREAD_PER_HOST * hosts).min(LONGEST_FETCH_SPREAD);
+        self.gateway.timer().sleep(most.mul_f64(rand::random())).await;
+    }
+
     async fn take_config_feed(&self, version: u64) {
         if version > self.gateway.config_version() {
-            // The hosts that hear of a version at the same time do not all ask at the same time.
-            let pause = FETCH_SPREAD.mul_f64(rand::random());
-            self.gateway.timer().sleep(pause).await;
+            self.spread().await;
             if let Some(address) = self.gateway.peers().with_newer_config(self.gateway.config_version()) {
                 fetch_config(&self.gateway, address).await;
             }
@@ -258,8 +265,7 @@
     async fn take_targets_feed(&self, since: u64, revision: u64, changes: Vec<feed::Change>) {
         let known = self.gateway.fleet_revision();
         if since > known {
-            let pause = FETCH_SPREAD.mul_f64(rand::random());
-            self.gateway.timer().sleep(pause).await;
+            self.spread().await;
             if let Some(address) = self.gateway.peers().with_newer_targets(self.gateway.fleet_revision()) {
                 fetch_targets(&self.gateway, address).await;
             }
