Apply changes of targets once and in order, and pass on only listed targets

An answer of a watch that a watcher's word had overtaken was applied over later changes, and hosts that were behind fetched the result. A list for other hosts also held targets whose entries had lapsed and ones that were found without the store.

Changes are skipped, applied or found incomplete by their revisions; a list for peers holds only what the store lists; an outage of less than 2 s makes no entry lapse.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -61,7 +61,7 @@
             let fleet = gateway.fleet().borrow();
             json_page(&Targets {
                 revision: gateway.fleet_revision(),
-                targets: fleet.targets().map(|target| (**target).clone()).collect(),
+                targets: fleet.listed().map(|target| (**target).clone()).collect(),
             })
         }
         TARGETS_PATH => answer::own(StatusCode::NOT_FOUND, "no targets are known; ask another entry host"),
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -49,6 +49,32 @@
     Gone(String),
 }
 
+/// What to do with changes between two revisions.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Apply them.
+    Apply,
+    /// They are known already; an answer that was overtaken would undo later changes.
+    Skip,
+    /// Changes before them are missing.
+    Gap,
+}
+
+impl Step {
+    /// Decides on changes after `since` up to `revision` where all up to `known` are applied.
+    ///
+    /// Changes that begin earlier and end later are applied as a whole: their end is the state at `revision`.
+    pub fn of(known: u64, since: u64, revision: u64) -> Self {
+        if revision <= known {
+            Self::Skip
+        } else if since > known {
+            Self::Gap
+        } else {
+            Self::Apply
+        }
+    }
+}
+
 /// A host that may watch.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Candidate<'a> {
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -87,6 +87,8 @@
     is_replaced: bool,
     /// When it was found, while the store does not list it.
     unlisted_since: Option<Instant>,
+    /// Until when its entry may come back that lapsed while the store was away.
+    lapsed_until: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -116,6 +118,7 @@
         {
             member.target = Rc::new(target);
             member.unlisted_since = None;
+            member.lapsed_until = None;
             return;
         }
         let others = self.load_of_peers(&target.id);
@@ -127,6 +130,7 @@
             suspect_until: Instant::ZERO,
             is_replaced: false,
             unlisted_since: None,
+            lapsed_until: None,
             target: Rc::new(target),
         };
         self.members.insert(member.target.id.clone(), member);
@@ -145,6 +149,33 @@
         true
     }
 
+    /// Keeps a target for a time whose entry may only have lapsed.
+    pub fn let_lapse(&mut self, id: &str, until: Instant) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.lapsed_until.get_or_insert(until);
+        }
+    }
+
+    /// Returns whether entries may come back that lapsed while the store was away.
+    pub fn has_lapsed(&self) -> bool {
+        self.members.values().any(|member| member.lapsed_until.is_some())
+    }
+
+    /// Returns the targets whose lapsed entries have not come back in time.
+    pub fn lapsed(&self, now: Instant) -> Vec<Rc<Target>> {
+        let members = self.members.values();
+        let gone = members.filter(|member| member.lapsed_until.is_some_and(|until| until <= now));
+        gone.map(|member| Rc::clone(&member.target)).collect()
+    }
+
+    /// Returns the targets that the store lists, for hosts that lack them. A host that was told of others would keep
+    /// them for good, as the store never reports them as gone again.
+    pub fn listed(&self) -> impl Iterator<Item = &Rc<Target>> {
+        let members = self.members.values();
+        let listed = members.filter(|member| member.unlisted_since.is_none() && member.lapsed_until.is_none());
+        listed.map(|member| &member.target)
+    }
+
     /// Returns the targets that the store does not list although they were found before `limit`.
     pub fn unlisted_before(&self, limit: Instant) -> Vec<Rc<Target>> {
         let members = self.members.values();
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -1,7 +1,7 @@
 //! Keeps configuration and targets equal to the platform's store, with the help of peers while the store is away.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,7 +15,7 @@
 
 use crate::config::Config;
 use crate::event::Event;
-use crate::feed::{self, Feed, Freshness};
+use crate::feed::{self, Feed, Freshness, Step};
 use crate::gateway::Gateway;
 use crate::outbound::Connection;
 use crate::platform::{Change, Failure, Kind, Object, Platform};
@@ -43,6 +43,8 @@
 const PEER_LEAD: Duration = Duration::from_millis(400);
 /// How long a target may serve that the store does not list; servers register within a heartbeat or two.
 const UNLISTED_GRACE: Duration = Duration::from_millis(3500);
+/// Entries lapse after some missed heartbeats, so a shorter outage than this makes none lapse.
+const LAPSE_AFTER: Duration = Duration::from_secs(2);
 /// How long a watch waits while lapsed targets are kept.
 const LAPSE_CHECK: Duration = Duration::from_millis(400);
 /// The time limit of a call to a peer.
@@ -74,8 +76,6 @@
     freshness: RefCell<Freshness>,
     /// Whether the changes since the known revision cannot be had any more.
     must_list: Cell<bool>,
-    /// Targets whose entries lapsed while the store was away, with the time at which they count as gone.
-    lapsed: RefCell<BTreeMap<String, Option<Instant>>>,
 }
 
 /// Whether the store answers.
@@ -94,7 +94,6 @@
             link: Link::default(),
             freshness: RefCell::default(),
             must_list: Cell::default(),
-            lapsed: RefCell::default(),
         });
         for kind in [Kind::Config, Kind::Targets] {
             let sync = Rc::clone(&sync);
@@ -166,7 +165,9 @@
         let listing = self.platform.list(kind).await?;
         self.note_back();
         let before = self.gateway.fleet_revision();
-        self.apply_listing(kind, listing.objects, listing.revision);
+        if kind == Kind::Config || listing.revision >= before {
+            self.apply_listing(kind, listing.objects, listing.revision);
+        }
         if kind == Kind::Targets {
             self.must_list.set(false);
         }
@@ -175,18 +176,17 @@
     }
 
     async fn watch(&self, kind: Kind, since: u64) -> Result<u64, Failure> {
-        let wait = if self.lapsed.borrow().is_empty() {
-            WATCH_WAIT
-        } else {
-            LAPSE_CHECK
-        };
+        let has_lapsed = self.gateway.fleet().borrow().has_lapsed();
+        let wait = if !has_lapsed { WATCH_WAIT } else { LAPSE_CHECK };
         let changes = self.platform.watch(kind, since, wait).await?;
         self.note_back();
         let revision = changes.revision.max(since);
         let told = changes.changes.iter().filter_map(feed_change).collect::<Vec<_>>();
         let has_changes = !changes.changes.is_empty();
-        for change in changes.changes {
-            self.apply(change, revision);
+        if kind == Kind::Config || Step::of(self.gateway.fleet_revision(), since, revision) == Step::Apply {
+            for change in changes.changes {
+                self.apply(change, revision);
+            }
         }
         self.finish(kind, revision);
         self.tell(kind, since, revision, Some(told));
@@ -263,17 +263,21 @@
     }
 
     async fn take_targets_feed(&self, since: u64, revision: u64, changes: Vec<feed::Change>) {
-        let known = self.gateway.fleet_revision();
-        if since > known {
-            self.spread().await;
-            if let Some(address) = self.gateway.peers().with_newer_targets(self.gateway.fleet_revision()) {
-                fetch_targets(&self.gateway, address).await;
+        match Step::of(self.gateway.fleet_revision(), since, revision) {
+            Step::Apply => {
+                for change in changes {
+                    self.apply(store_change(change), revision);
+                }
+                self.finish(Kind::Targets, revision);
             }
-        } else if revision > known {
-            for change in changes {
-                self.apply(store_change(change), revision);
+            Step::Skip => {}
+            Step::Gap => {
+                self.spread().await;
+                let revision = self.gateway.fleet_revision();
+                if let Some(address) = self.gateway.peers().with_newer_targets(revision) {
+                    fetch_targets(&self.gateway, address).await;
+                }
             }
-            self.finish(Kind::Targets, revision);
         }
         if revision <= self.gateway.fleet_revision() {
             self.freshness.borrow_mut().note(Kind::Targets, self.gateway.now());
@@ -318,7 +322,6 @@
         match change {
             Change::Put(Object::Config(config)) => self.gateway.put_config(*config, "store"),
             Change::Put(Object::Target(target)) => {
-                self.lapsed.borrow_mut().remove(&target.id);
                 put_target(&self.gateway, target, revision);
             }
             Change::Put(Object::Unusable(id)) | Change::Deleted(id) => self.remove(&id, revision),
@@ -330,9 +333,9 @@
         let Some(target) = self.gateway.fleet().borrow().get(id).map(Rc::clone) else {
             return;
         };
-        let gone_at = self.lapse_end();
-        if gone_at.is_some_and(|at| at > self.gateway.now()) && !target.is_leaving {
-            self.lapsed.borrow_mut().entry(id.to_owned()).or_insert(gone_at);
+        let until = self.lapse_end().filter(|until| *until > self.gateway.now());
+        if let Some(until) = until.filter(|_| !target.is_leaving) {
+            self.gateway.fleet().borrow_mut().let_lapse(id, until);
             return;
         }
         remove_target(&self.gateway, &target, revision);
@@ -345,16 +348,9 @@
     }
 
     fn drop_lapsed(&self, revision: u64) {
-        let now = self.gateway.now();
-        let mut lapsed = self.lapsed.borrow_mut();
-        let gone = lapsed.iter().filter(|(_, at)| at.is_none_or(|at| at <= now));
-        let gone = gone.map(|(id, _)| id.clone()).collect::<Vec<_>>();
-        for id in gone {
-            lapsed.remove(&id);
-            let target = self.gateway.fleet().borrow().get(&id).map(Rc::clone);
-            if let Some(target) = target {
-                remove_target(&self.gateway, &target, revision);
-            }
+        let gone = self.gateway.fleet().borrow().lapsed(self.gateway.now());
+        for target in gone {
+            remove_target(&self.gateway, &target, revision);
         }
     }
 
@@ -398,7 +394,9 @@
             return;
         };
         let now = self.gateway.now();
-        self.link.back_at.set(Some(now));
+        if now.since(lost) >= LAPSE_AFTER {
+            self.link.back_at.set(Some(now));
+        }
         let away_ms = millis(now.since(lost));
         let what = "the platform's store answers again";
         Event::DependencyBack {
--- a/crates/gateway/tests/feed.rs
+++ b/crates/gateway/tests/feed.rs
@@ -4,8 +4,9 @@
 
 use hawthornpost_core::clock::Instant;
 use hawthornpost_core::id::{DataCentre, Entry};
-use hawthornpost_gateway::feed::{Candidate, FRESH_FOR, Freshness, WATCHERS, is_watcher};
+use hawthornpost_gateway::feed::{Candidate, FRESH_FOR, Freshness, Step, WATCHERS, is_watcher};
 use hawthornpost_gateway::platform::Kind;
+use test_case::test_case;
 
 fn hosts(count: usize, data_centres: usize) -> Vec<(Entry, DataCentre)> {
     let host = |at: usize| {
@@ -62,3 +63,15 @@
         "kinds count for themselves"
     );
 }
+
+/// Guards against an answer that was overtaken by a watcher's word and brings a removed target back, and against changes
+/// that are missed. Applying changes in any order of arrival has to lead to the same state.
+#[test_case(10, 10, 12, Step::Apply; "next changes")]
+#[test_case(10, 8, 12, Step::Apply; "changes of which some are known")]
+#[test_case(10, 8, 10, Step::Skip; "overtaken")]
+#[test_case(10, 10, 10, Step::Skip; "nothing new")]
+#[test_case(10, 11, 12, Step::Gap; "missing changes")]
+#[test_case(10, 12, 12, Step::Gap; "too many changes for a datagram")]
+fn changes_are_applied_once_and_in_order(known: u64, since: u64, revision: u64, expected: Step) {
+    assert_eq!(Step::of(known, since, revision), expected);
+}
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -212,3 +212,25 @@
     assert!(fleet.own_load("x").is_empty());
     assert!(!fleet.is_suspect(NOW, "x"));
 }
+
+/// Guards against targets that are passed on to other hosts although the store does not list them: those hosts never
+/// heard that they were gone, and sent a stream to a server 3.8 s after it had left (omcc-rounds-grown, fresh-bc12).
+#[test]
+fn only_listed_targets_are_passed_on() {
+    let mut fleet = Fleet::new(3);
+    for id in ["listed", "lapsed"] {
+        fleet.put(target(id, "a"));
+    }
+    fleet.put_unlisted(NOW, target("unlisted", "a"));
+    fleet.let_lapse("lapsed", NOW + Duration::from_secs(2));
+    assert!(fleet.has_lapsed());
+    let listed = fleet.listed().map(|target| target.id.as_str()).collect::<Vec<_>>();
+    assert_eq!(listed, ["listed"]);
+    let gone = fleet.lapsed(NOW + Duration::from_secs(2));
+    assert_eq!(
+        gone.iter().map(|target| target.id.as_str()).collect::<Vec<_>>(),
+        ["lapsed"]
+    );
+    fleet.put(target("lapsed", "a"));
+    assert!(!fleet.has_lapsed(), "the entry came back");
+}
