Drop targets in time that leave right after an outage of the store

A host that does not watch dropped lapsed targets only with the next change of the list, up to 4 s later.

Only what vanishes in the first changes after an outage of 2 s may have lapsed; it is kept for 1.4 s and dropped by the watchers' next word, whether or not anything has changed.

--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -26,7 +26,7 @@
 /// The shortest pause of a host that does not have to watch.
 const LEAST_REST: Duration = Duration::from_millis(50);
 /// The pause after changes of targets.
-const GROUP_PAUSE: Duration = Duration::from_millis(100);
+const GROUP_PAUSE: Duration = Duration::from_millis(250);
 /// The most changes in one datagram.
 const FEED_CHANGES: usize = 24;
 /// The time over which hosts spread their questions to peers, for each host; a few watchers answer all of them.
@@ -37,8 +37,9 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// The longest pause after failed calls.
 const LONGEST_RETRY_PAUSE: Duration = Duration::from_millis(600);
-/// How long a target is kept whose entry lapsed while the store was away; by then a live one has registered again.
-const LAPSE_GRACE: Duration = Duration::from_millis(2200);
+/// How long a target is kept whose entry lapsed while the store was away; by then most live ones have registered again,
+/// and one that has left gets no work later than it may.
+const LAPSE_GRACE: Duration = Duration::from_millis(1400);
 /// How long a peer may be ahead before its knowledge is fetched; usually the own watch is as fast.
 const PEER_LEAD: Duration = Duration::from_millis(400);
 /// How long a target may serve that the store does not list; servers register within a heartbeat or two.
@@ -74,6 +75,9 @@
     platform: P,
     link: Link,
     freshness: RefCell<Freshness>,
+    /// Whether the next changes of targets are the first ones after the store was away. Entries that vanish in them may
+    /// have lapsed; those that vanish later belong to targets that have left or are dead.
+    is_returning: Cell<bool>,
     /// Whether the changes since the known revision cannot be had any more.
     must_list: Cell<bool>,
 }
@@ -93,6 +97,7 @@
             platform,
             link: Link::default(),
             freshness: RefCell::default(),
+            is_returning: Cell::default(),
             must_list: Cell::default(),
         });
         for kind in [Kind::Config, Kind::Targets] {
@@ -226,6 +231,8 @@
     async fn follow_feeds(&self) {
         loop {
             for feed in self.gateway.peers().feeds().await {
+                // Watchers speak every second, also when nothing has changed.
+                self.drop_overdue();
                 match feed {
                     Feed::Config { version } => self.take_config_feed(version).await,
                     Feed::Targets {
@@ -275,7 +282,7 @@
                 self.spread().await;
                 let revision = self.gateway.fleet_revision();
                 if let Some(address) = self.gateway.peers().with_newer_targets(revision) {
-                    fetch_targets(&self.gateway, address).await;
+                    self.fetch_targets(address).await;
                 }
             }
         }
@@ -287,8 +294,8 @@
     fn finish(&self, kind: Kind, revision: u64) {
         if kind == Kind::Targets {
             self.gateway.set_fleet_revision(revision);
-            self.drop_lapsed(revision);
-            self.drop_unlisted(revision);
+            self.is_returning.set(false);
+            self.drop_overdue();
         }
     }
 
@@ -333,18 +340,19 @@
         let Some(target) = self.gateway.fleet().borrow().get(id).map(Rc::clone) else {
             return;
         };
-        let until = self.lapse_end().filter(|until| *until > self.gateway.now());
-        if let Some(until) = until.filter(|_| !target.is_leaving) {
+        if self.is_returning.get() && !target.is_leaving {
+            let until = self.gateway.now() + LAPSE_GRACE;
             self.gateway.fleet().borrow_mut().let_lapse(id, until);
             return;
         }
         remove_target(&self.gateway, &target, revision);
     }
 
-    /// Returns until when a lapsed entry may come back; `None` when the store was not away.
-    fn lapse_end(&self) -> Option<Instant> {
-        let back = self.link.back_at.get()?;
-        Some(back + LAPSE_GRACE)
+    /// Drops targets that were kept for a time and that the store has not listed since.
+    fn drop_overdue(&self) {
+        let revision = self.gateway.fleet_revision();
+        self.drop_lapsed(revision);
+        self.drop_unlisted(revision);
     }
 
     fn drop_lapsed(&self, revision: u64) {
@@ -367,6 +375,18 @@
         }
     }
 
+    /// Takes the targets that a peer knows.
+    async fn fetch_targets(&self, address: SocketAddr) {
+        let Some(fetched) = fetch::<Targets>(&self.gateway, address, TARGETS_PATH).await else {
+            return;
+        };
+        if fetched.revision <= self.gateway.fleet_revision() {
+            return;
+        }
+        let objects = fetched.targets.into_iter().map(Object::Target).collect();
+        self.apply_listing(Kind::Targets, objects, fetched.revision);
+    }
+
     fn note_lost(&self, error: &Failure) {
         if self
             .freshness
@@ -376,7 +396,10 @@
         {
             self.gateway.set_store_away(true);
         }
-        if self.link.lost_at.get().is_some() {
+        if let Some(lost) = self.link.lost_at.get() {
+            if self.gateway.now().since(lost) >= LAPSE_AFTER {
+                self.is_returning.set(true);
+            }
             return;
         }
         self.link.lost_at.set(Some(self.gateway.now()));
@@ -420,7 +443,7 @@
             if self.link.lost_at.get().is_some() {
                 let revision = self.gateway.fleet_revision();
                 if let Some(address) = self.gateway.peers().with_newer_targets(revision) {
-                    fetch_targets(&self.gateway, address).await;
+                    self.fetch_targets(address).await;
                 }
             }
         }
@@ -435,7 +458,7 @@
                     fetch_config(&self.gateway, address).await;
                 }
                 if self.gateway.fleet_revision() == 0 {
-                    fetch_targets(&self.gateway, address).await;
+                    self.fetch_targets(address).await;
                 }
                 if self.gateway.is_ready() {
                     return;
@@ -467,29 +490,6 @@
     }
 }
 
-async fn fetch_targets(gateway: &Gateway, address: SocketAddr) {
-    let Some(targets) = fetch::<Targets>(gateway, address, TARGETS_PATH).await else {
-        return;
-    };
-    let revision = targets.revision;
-    if revision <= gateway.fleet_revision() {
-        return;
-    }
-    let listed = targets
-        .targets
-        .iter()
-        .map(|target| target.id.clone())
-        .collect::<BTreeSet<_>>();
-    for target in targets.targets {
-        put_target(gateway, target, revision);
-    }
-    let known = gateway.fleet().borrow().targets().map(Rc::clone).collect::<Vec<_>>();
-    for target in known.iter().filter(|target| !listed.contains(&target.id)) {
-        remove_target(gateway, target, revision);
-    }
-    gateway.set_fleet_revision(revision);
-}
-
 async fn fetch<T: for<'a> Deserialize<'a>>(gateway: &Gateway, address: SocketAddr, path: &str) -> Option<T> {
     let request = Request::get(path)
         .header(HOST, address.to_string())
@@ -525,17 +525,17 @@
 
 fn put_target(gateway: &Gateway, target: Target, revision: u64) {
     let mut fleet = gateway.fleet().borrow_mut();
-    if fleet.get(&target.id).is_some_and(|known| **known == target) {
-        return;
-    }
-    Event::TargetChanged {
-        target: &target.id,
-        service: &target.service,
-        state: if target.is_leaving { "leaving" } else { "ready" },
-        revision,
-        what: "a target is new or has changed",
+    if fleet.get(&target.id).is_none_or(|known| **known != target) {
+        Event::TargetChanged {
+            target: &target.id,
+            service: &target.service,
+            state: if target.is_leaving { "leaving" } else { "ready" },
+            revision,
+            what: "a target is new or has changed",
+        }
+        .log();
     }
-    .log();
+    // An entry without a change still shows that the target is listed again.
     fleet.put(target);
 }
 
