--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -103,6 +103,11 @@
         at.map_or(Duration::ZERO, |at| (at + FRESH_FOR).since(now))
     }
 
+    /// Returns how long ago a kind was last known to be current; `None` when it never was.
+    pub fn age(&mut self, kind: Kind, now: Instant) -> Option<Duration> {
+        self.slot(kind).map(|at| now.since(at))
+    }
+
     fn slot(&mut self, kind: Kind) -> &mut Option<Instant> {
         match kind {
             Kind::Config => &mut self.config,
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -396,10 +396,12 @@
         {
             self.gateway.set_store_away(true);
         }
-        if let Some(lost) = self.link.lost_at.get() {
-            if self.gateway.now().since(lost) >= LAPSE_AFTER {
-                self.is_returning.set(true);
-            }
+        // A host that the store turns away learns from watchers what is gone; nothing has lapsed for them.
+        let age = self.freshness.borrow_mut().age(Kind::Targets, self.gateway.now());
+        if age.is_some_and(|age| age >= LAPSE_AFTER) {
+            self.is_returning.set(true);
+        }
+        if self.link.lost_at.get().is_some() {
             return;
         }
         self.link.lost_at.set(Some(self.gateway.now()));
