--- a/crates/gateway/src/backup.rs
+++ b/crates/gateway/src/backup.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hawthornpost_core::clock::Instant;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::header::HOST;
@@ -28,7 +27,7 @@
 const CONNECT_LIMIT: Duration = Duration::from_millis(150);
 /// A copy is renewed this often; an engine drops one that was not renewed for some seconds, and the older a copy is, the
 /// more of the run is computed again.
-const RENEW_AFTER: Duration = Duration::from_millis(3000);
+const RENEW_AFTER: Duration = Duration::from_secs(3);
 /// The pause after a call that failed.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 /// The largest answer.
@@ -93,7 +92,7 @@
         }
         let (gateway, made) = (Rc::clone(gateway), Rc::clone(&self.made));
         self.task = Some(Task(tokio::task::spawn_local(async move {
-            run.keep(&gateway, &made).await
+            run.keep(&gateway, &made).await;
         })));
     }
 
@@ -135,38 +134,34 @@
                 made.take();
                 chosen = None;
             }
-            let (target, hold) = match chosen.take().or_else(|| self.choose(gateway)) {
-                Some(found) => found,
-                None => return,
+            let Some((target, hold)) = chosen.take().or_else(|| self.choose(gateway)) else {
+                return;
             };
-            match self.copy(gateway, &target).await {
-                Some(handle) => {
-                    Event::StreamCopied {
-                        request: &self.request,
-                        from: &self.source.id,
-                        to: &target.id,
-                        what: "a running stream was copied to another engine because its backup had failed",
-                    }
-                    .log();
-                    made.replace(Some(Backup {
-                        target: Rc::clone(&target),
-                        address: self.source.address,
-                        id: handle,
-                        _hold: Rc::clone(&hold),
-                    }));
-                    chosen = Some((target, hold));
-                    gateway.timer().sleep(RENEW_AFTER).await;
-                }
-                None => {
-                    self.excluded.push(target.id.clone());
-                    gateway.timer().sleep(RETRY_AFTER).await;
-                }
+            let Some(handle) = self.copy(gateway, &target).await else {
+                self.excluded.push(target.id.clone());
+                gateway.timer().sleep(RETRY_AFTER).await;
+                continue;
+            };
+            Event::StreamCopied {
+                request: &self.request,
+                from: &self.source.id,
+                to: &target.id,
+                what: "a running stream was copied to another engine because its backup had failed",
             }
+            .log();
+            made.replace(Some(Backup {
+                target: Rc::clone(&target),
+                address: self.source.address,
+                id: handle,
+                _hold: Rc::clone(&hold),
+            }));
+            chosen = Some((target, hold));
+            gateway.timer().sleep(RENEW_AFTER).await;
         }
     }
 
     fn choose(&self, gateway: &Rc<Gateway>) -> Option<(Rc<Target>, Rc<Hold>)> {
-        let now: Instant = gateway.now();
+        let now = gateway.now();
         let target = gateway
             .fleet()
             .borrow_mut()
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -58,7 +58,7 @@
     type Data = Bytes;
     type Error = Broken;
 
-    fn poll_frame(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+    fn poll_frame(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
         match self.get_mut() {
             Self::Whole(bytes) => Poll::Ready(
                 bytes
@@ -66,7 +66,7 @@
                     .filter(|bytes| !bytes.is_empty())
                     .map(|bytes| Ok(Frame::data(bytes))),
             ),
-            Self::Parts(parts) => parts.receiver.poll_recv(context).map(|part| match part {
+            Self::Parts(parts) => parts.receiver.poll_recv(cx).map(|part| match part {
                 Some(Part::Bytes(bytes)) => Some(Ok(Frame::data(bytes))),
                 Some(Part::End) => None,
                 None => Some(Err(Broken)),
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -85,6 +85,8 @@
     921 Info ConfigInForce { version: u64, before: u64, source: &'a str }
     /// The process was paused; what it knows may be old.
     922 Warn Paused { gap_ms: u64 }
+    /// An object of the store cannot be decoded.
+    923 Warn ObjectUnusable { object: &'a str, reason: &'a str, revision: u64 }
     /// Another entry host changed its state.
     931 Info PeerChanged { peer: &'a str, state: &'a str, draining: bool, incarnation: u64 }
     /// A target is new, has changed or is gone.
--- a/crates/gateway/src/head_guard.rs
+++ b/crates/gateway/src/head_guard.rs
@@ -98,42 +98,38 @@
 }
 
 impl AsyncRead for Guarded {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(cx, buf);
         if matches!(result, Poll::Ready(Ok(()))) {
-            self.head.see(&buffer.filled()[before..]);
+            self.head.see(&buf.filled()[before..]);
         }
         result
     }
 }
 
 impl AsyncWrite for Guarded {
-    fn poll_write(mut self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
     fn poll_write_vectored(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        slices: &[io::IoSlice<'_>],
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
         self.stream.is_write_vectored()
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
--- a/crates/gateway/src/logging.rs
+++ b/crates/gateway/src/logging.rs
@@ -54,14 +54,14 @@
 }
 
 impl Write for Buffer {
-    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
         let mut pending = self.shared.lock().unwrap_or_else(PoisonError::into_inner);
-        if pending.bytes.len() + line.len() > BUFFER_BYTES {
+        if pending.bytes.len() + buf.len() > BUFFER_BYTES {
             pending.dropped += 1;
         } else {
-            pending.bytes.extend_from_slice(line);
+            pending.bytes.extend_from_slice(buf);
         }
-        Ok(line.len())
+        Ok(buf.len())
     }
 
     fn flush(&mut self) -> io::Result<()> {
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -22,7 +22,12 @@
     /// A target.
     Target(Target),
     /// An object that names nothing the gateway can use; only its name is known.
-    Unusable(String),
+    Unusable {
+        /// The name.
+        name: String,
+        /// Why it cannot be used.
+        reason: String,
+    },
 }
 
 /// All objects of a kind at a revision.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -261,7 +261,7 @@
                 return Outcome::NotRun(error.to_string());
             }
         };
-        let send = Send {
+        let order = Send {
             instance: &target.id,
             left: self.job.left(&self.gateway),
             account: self.job.account.as_ref().map(|account| account.name.as_str()),
@@ -272,7 +272,7 @@
             }),
             last_event: self.last_event,
         };
-        let request = self.job.request(&self.gateway, &send);
+        let request = self.job.request(&self.gateway, &order);
         let patience = Patience::first(self.gateway.fleet().borrow().prefill_tokens(&target.id));
         let sent = self.gateway.now();
         let response = match self.watched(target, patience, connection.send(request)).await {
@@ -481,7 +481,7 @@
             if let Some(output) = self
                 .gateway
                 .timer()
-                .limit(pause.min(hard - waited), future.as_mut())
+                .limit(pause.min(hard.saturating_sub(waited)), future.as_mut())
                 .await
             {
                 return Ok(output);
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -22,7 +22,7 @@
 use crate::target::Target;
 
 /// How long the store may hold a watch. The other hosts rely on a watcher for little longer than that.
-const WATCH_WAIT: Duration = Duration::from_millis(1000);
+const WATCH_WAIT: Duration = Duration::from_secs(1);
 /// The shortest pause of a host that does not have to watch.
 const LEAST_REST: Duration = Duration::from_millis(50);
 /// The pause after changes of targets.
@@ -182,7 +182,7 @@
 
     async fn watch(&self, kind: Kind, since: u64) -> Result<u64, Failure> {
         let has_lapsed = self.gateway.fleet().borrow().has_lapsed();
-        let wait = if !has_lapsed { WATCH_WAIT } else { LAPSE_CHECK };
+        let wait = if has_lapsed { LAPSE_CHECK } else { WATCH_WAIT };
         let changes = self.platform.watch(kind, since, wait).await?;
         self.note_back();
         let revision = changes.revision.max(since);
@@ -306,7 +306,7 @@
                 Object::Target(target) => {
                     listed.insert(target.id.clone());
                 }
-                Object::Unusable(_) | Object::Config(_) => {}
+                Object::Unusable { .. } | Object::Config(_) => {}
             }
             self.apply(Change::Put(object), revision);
         }
@@ -331,7 +331,17 @@
             Change::Put(Object::Target(target)) => {
                 put_target(&self.gateway, target, revision);
             }
-            Change::Put(Object::Unusable(id)) | Change::Deleted(id) => self.remove(&id, revision),
+            Change::Put(Object::Unusable { name, reason }) => {
+                Event::ObjectUnusable {
+                    object: &name,
+                    reason: &reason,
+                    revision,
+                    what: "an object of the store cannot be used and counts as missing",
+                }
+                .log();
+                self.remove(&name, revision);
+            }
+            Change::Deleted(id) => self.remove(&id, revision),
         }
     }
 
@@ -474,7 +484,7 @@
 fn feed_change(change: &Change) -> Option<feed::Change> {
     match change {
         Change::Put(Object::Target(target)) => Some(feed::Change::Put(target.clone())),
-        Change::Put(Object::Unusable(id)) | Change::Deleted(id) => Some(feed::Change::Gone(id.clone())),
+        Change::Put(Object::Unusable { name: id, .. }) | Change::Deleted(id) => Some(feed::Change::Gone(id.clone())),
         Change::Put(Object::Config(_)) => None,
     }
 }
--- a/crates/gateway/tests/feed.rs
+++ b/crates/gateway/tests/feed.rs
@@ -55,7 +55,7 @@
     freshness.note(Kind::Targets, now);
     assert_eq!(
         freshness.left(Kind::Targets, now + Duration::from_secs(1)),
-        FRESH_FOR - Duration::from_secs(1)
+        FRESH_FOR.saturating_sub(Duration::from_secs(1))
     );
     assert!(freshness.left(Kind::Targets, now + FRESH_FOR).is_zero());
     assert!(
--- a/crates/gateway/tests/log.rs
+++ b/crates/gateway/tests/log.rs
@@ -46,7 +46,7 @@
     let mut written = Vec::new();
     buffer.flush_to(&mut written);
     let kept = written.len() / line.len();
-    assert!(kept >= 100 && kept < 1000, "{kept}");
+    assert!((100..1000).contains(&kept), "{kept}");
     assert_eq!(buffer.take_dropped(), 1000 - kept as u64);
 }
 
