--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -5,7 +5,6 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
-use hyper::header::CONTENT_ENCODING;
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
 
@@ -19,6 +18,7 @@
 use crate::job::Job;
 use crate::load::Load;
 use crate::outbound::{Connection, Failure};
+use crate::reply::{self, Verdict};
 use crate::sync::millis;
 use crate::target::Target;
 
@@ -210,26 +210,13 @@
     }
 
     fn classify(&self, target: &Rc<Target>, head: Parts, body: Bytes) -> Outcome {
-        let reply = self.gateway.dialect().reply(head.status.as_u16(), &head.headers);
-        if let Some(report) = reply.report {
-            self.gateway
-                .fleet()
-                .borrow_mut()
-                .note_report(self.gateway.now(), &target.id, report);
-        }
-        if reply.misdirected {
-            self.gateway.note_replaced(target, reply.instance.as_deref());
-        }
-        if reply.not_run {
-            let reason = format!("the target refused with status {}", head.status.as_u16());
-            return Outcome::NotRun { reason, arrived: true };
-        }
-        let is_foreign = reply.id.as_deref().is_some_and(|id| id != self.job.call.id);
-        let is_encoded = head.headers.contains_key(CONTENT_ENCODING);
-        let is_unsigned = head.status.is_success() && !reply.signed;
-        if is_foreign || is_encoded || is_unsigned {
-            self.note_outcome(target, true);
-            return Outcome::Unknown("the answer is not the target's answer to this request".to_owned());
+        match reply::check(self.gateway, target, &self.job.call.id, &head) {
+            Verdict::Own => {}
+            Verdict::NotRun(reason) => return Outcome::NotRun { reason, arrived: true },
+            Verdict::Foreign => {
+                self.note_outcome(target, true);
+                return Outcome::Unknown("the answer is not the target's answer to this request".to_owned());
+            }
         }
         self.note_outcome(target, head.status.is_server_error());
         Outcome::Answered(Box::new(head), body)
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -14,7 +14,7 @@
 use crate::listener::{self, Purpose};
 use crate::logging::{self, Buffer};
 use crate::metric;
-use crate::peers;
+use crate::peers_runner;
 use crate::platform::Platform;
 use crate::settings::Settings;
 use crate::sync::{Sync, millis};
@@ -57,7 +57,7 @@
     let gateway = Gateway::new(settings, dialect);
     let driver = Rc::clone(&gateway);
     tokio::task::spawn_local(async move { driver.timer().run().await });
-    peers::run(Rc::clone(&gateway)).await?;
+    peers_runner::run(Rc::clone(&gateway)).await?;
     Sync::start(&gateway, platform);
     start_listeners(&gateway).await?;
     let writer = Rc::clone(&gateway);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -7,7 +7,7 @@
 use hawthornpost_core::clock::Instant;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_ENCODING, HeaderMap};
+use hyper::header::HeaderMap;
 use hyper::{Response, StatusCode};
 use tokio::sync::{mpsc, oneshot};
 
@@ -24,30 +24,13 @@
 use crate::job::Job;
 use crate::load::Load;
 use crate::outbound::{self, Connection};
+use crate::reply::{self, Verdict};
+use crate::silence::{Patience, Silence};
 use crate::sync::millis;
 use crate::target::Target;
 
 /// How long a connection to an engine may take.
 const CONNECT_LIMIT: Duration = Duration::from_millis(150);
-/// The silence after which a new connection tells whether the engine is there.
-const PROBE_AFTER: Duration = Duration::from_millis(180);
-/// The same for an engine that is suspected already.
-const SUSPECT_PROBE_AFTER: Duration = Duration::from_millis(60);
-/// The time for a probe's connection. Round trips take a few milliseconds; a lost packet is repeated after a second.
-const PROBE_LIMIT: Duration = Duration::from_millis(60);
-/// The silence within a stream after which it goes on from its backup, although the engine takes connections: the
-/// connection itself may have gone silent.
-const SILENCE_WITH_BACKUP: Duration = Duration::from_millis(560);
-/// The same when the prompt would have to be read again.
-const SILENCE_WITHOUT_BACKUP: Duration = Duration::from_millis(1500);
-/// The silence before the first event, besides the time for the prompt.
-const FIRST_SILENCE: Duration = Duration::from_millis(1500);
-/// The pause between probes before the first event.
-const FIRST_PROBE_AFTER: Duration = Duration::from_millis(300);
-/// How many times its expected time a prompt may take, as other prompts are read beside it.
-const PROMPT_PATIENCE: u32 = 3;
-/// The tokens that an engine prefills in one millisecond.
-const PREFILL_TOKENS_PER_MS: u64 = 8;
 /// The parts of an answer that wait for a slow reader; further ones slow the engine down.
 const WAITING_PARTS: usize = 256;
 /// The largest event.
@@ -275,7 +258,15 @@
         let request = self.job.request(&self.gateway, &order);
         let patience = Patience::first(self.gateway.fleet().borrow().prefill_tokens(&target.id));
         let sent = self.gateway.now();
-        let response = match self.watched(target, patience, connection.send(request)).await {
+        let response = match patience
+            .watch(
+                &self.gateway,
+                target,
+                self.job.left(&self.gateway),
+                connection.send(request),
+            )
+            .await
+        {
             Ok(Ok(response)) => response,
             Ok(Err(error)) => {
                 self.gateway.suspect(target, "the connection broke");
@@ -289,22 +280,12 @@
             }
         };
         let (head, body) = response.into_parts();
-        let reply = self.gateway.dialect().reply(head.status.as_u16(), &head.headers);
-        if let Some(report) = reply.report {
-            self.gateway
-                .fleet()
-                .borrow_mut()
-                .note_report(self.gateway.now(), &target.id, report);
-        }
-        if reply.misdirected {
-            self.gateway.note_replaced(target, reply.instance.as_deref());
-        }
-        if reply.not_run {
-            return Outcome::NotRun(format!("the engine refused with status {}", head.status.as_u16()));
-        }
-        let is_foreign = reply.id.as_deref().is_some_and(|other| other != id);
-        if is_foreign || head.headers.contains_key(CONTENT_ENCODING) || (head.status.is_success() && !reply.signed) {
-            return self.broken("the answer is not the engine's answer to this request".to_owned(), sent);
+        match reply::check(&self.gateway, target, &id, &head) {
+            Verdict::Own => {}
+            Verdict::NotRun(reason) => return Outcome::NotRun(reason),
+            Verdict::Foreign => {
+                return self.broken("the answer is not the engine's answer to this request".to_owned(), sent);
+            }
         }
         if !head.status.is_success() {
             return self.other_answer(head, body).await;
@@ -371,7 +352,10 @@
             } else {
                 first_patience
             };
-            let frame = match self.watched(target, patience, body.frame()).await {
+            let frame = match patience
+                .watch(&self.gateway, target, self.job.left(&self.gateway), body.frame())
+                .await
+            {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(None) if !splitter.has_rest() && has_event => return Outcome::Done,
                 Ok(None) => return self.broken("the stream ended within an event".to_owned(), sent),
@@ -457,45 +441,6 @@
         }
     }
 
-    /// Waits for an engine.
-    async fn watched<T>(
-        &self,
-        target: &Target,
-        patience: Patience,
-        future: impl Future<Output = T>,
-    ) -> Result<T, Silence> {
-        let mut future = std::pin::pin!(future);
-        let started = self.gateway.now();
-        let hard = patience.limit.min(self.job.left(&self.gateway));
-        loop {
-            let waited = self.gateway.now().since(started);
-            if waited >= hard {
-                return Err(Silence::Slow);
-            }
-            let is_suspect = self.gateway.fleet().borrow().is_suspect(self.gateway.now(), &target.id);
-            let pause = if is_suspect {
-                SUSPECT_PROBE_AFTER
-            } else {
-                patience.probe_after
-            };
-            if let Some(output) = self
-                .gateway
-                .timer()
-                .limit(pause.min(hard.saturating_sub(waited)), future.as_mut())
-                .await
-            {
-                return Ok(output);
-            }
-            tokio::select! {
-                biased;
-                output = future.as_mut() => return Ok(output),
-                is_reachable = outbound::is_reachable(target.address, PROBE_LIMIT) => if !is_reachable {
-                    return Err(Silence::Unreachable);
-                },
-            }
-        }
-    }
-
     fn note_continued(&self, from: &str, attempt: &Attempt, silent: Duration) {
         Event::StreamContinued {
             request: &self.job.call.id,
@@ -632,51 +577,3 @@
         .log();
     }
 }
-
-/// Why an engine is no longer waited for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Silence {
-    /// Its host takes no connection.
-    Unreachable,
-    /// Its host answers, but the request does not go on: the connection may have gone silent.
-    Slow,
-}
-
-impl Silence {
-    fn reason(self) -> &'static str {
-        match self {
-            Self::Unreachable => "silent, and its host does not answer",
-            Self::Slow => "silent, although its host answers",
-        }
-    }
-}
-
-/// How long to wait for an engine.
-#[derive(Clone, Copy, Debug)]
-struct Patience {
-    probe_after: Duration,
-    limit: Duration,
-}
-
-impl Patience {
-    /// Before the first event of an attempt.
-    fn first(prefill_tokens: u64) -> Self {
-        let prompt = Duration::from_millis(prefill_tokens / PREFILL_TOKENS_PER_MS);
-        Self {
-            probe_after: FIRST_PROBE_AFTER,
-            limit: FIRST_SILENCE + prompt * PROMPT_PATIENCE,
-        }
-    }
-
-    /// Between events.
-    fn between(has_backup: bool) -> Self {
-        Self {
-            probe_after: PROBE_AFTER,
-            limit: if has_backup {
-                SILENCE_WITH_BACKUP
-            } else {
-                SILENCE_WITHOUT_BACKUP
-            },
-        }
-    }
-}
