--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -57,6 +57,7 @@
         excluded: Vec::new(),
         offers: 0,
         runs: 0,
+        counted: 0,
         events: 0,
         backup: None,
         copier: Copier::default(),
@@ -92,7 +93,12 @@
     /// The engine did not run the request.
     NotRun(String),
     /// The engine failed; the stream can go on elsewhere from its last event.
-    Broken { reason: String, silent: Duration },
+    Broken {
+        reason: String,
+        silent: Duration,
+        /// Whether the engine's host is gone, so that the run does not count as an attempt of its route.
+        has_ended: bool,
+    },
     /// The engine's own answer, which is not a stream.
     Other(Response<Body>),
 }
@@ -112,6 +118,8 @@
     excluded: Vec<String>,
     offers: u32,
     runs: u32,
+    /// Runs at engines that have not ended, of which the route allows only so many.
+    counted: u32,
     last_event: Option<u64>,
     events: u64,
     backup: Option<Backup>,
@@ -156,8 +164,13 @@
                         failed = Some((target.id.clone(), reason, Duration::ZERO));
                     }
                 }
-                Outcome::Broken { reason, silent } => {
+                Outcome::Broken {
+                    reason,
+                    silent,
+                    has_ended,
+                } => {
                     self.runs += 1;
+                    self.counted += u32::from(!has_ended);
                     self.note_failure(target, &reason, "yes", took_ms);
                     self.excluded.push(target.id.clone());
                     if !self.job.route.resumable {
@@ -166,7 +179,8 @@
                     failed = Some((target.id.clone(), reason, silent));
                 }
             }
-            if self.offers >= OFFERS || self.job.left(&self.gateway).is_zero() || !self.take_repeat() {
+            let has_attempts = self.offers < OFFERS && self.counted < self.job.route.max_attempts.max(1);
+            if !has_attempts || self.job.left(&self.gateway).is_zero() || !self.take_repeat() {
                 return self.give_up("the attempts, the time or the budget are used up");
             }
         }
@@ -276,7 +290,7 @@
             Err(silence) => {
                 self.note_silence(target, silence);
                 self.backup = backup;
-                return self.broken(silence.reason().to_owned(), sent);
+                return self.silent(silence, sent);
             }
         };
         let (head, body) = response.into_parts();
@@ -295,8 +309,19 @@
     }
 
     fn broken(&self, reason: String, since: Instant) -> Outcome {
-        let silent = self.gateway.now().since(since.max(self.last_at));
-        Outcome::Broken { reason, silent }
+        Outcome::Broken {
+            reason,
+            silent: self.gateway.now().since(since.max(self.last_at)),
+            has_ended: false,
+        }
+    }
+
+    fn silent(&self, silence: Silence, since: Instant) -> Outcome {
+        Outcome::Broken {
+            reason: silence.reason().to_owned(),
+            silent: self.gateway.now().since(since.max(self.last_at)),
+            has_ended: silence == Silence::Unreachable,
+        }
     }
 
     fn choose_backup(&self, target: &Target, need: Need) -> Option<Rc<Target>> {
@@ -365,7 +390,7 @@
                 }
                 Err(silence) => {
                     self.note_silence(target, silence);
-                    return self.broken(silence.reason().to_owned(), sent);
+                    return self.silent(silence, sent);
                 }
             };
             let Ok(bytes) = frame.into_data() else {
