--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -11,12 +11,12 @@
 use serde::{Deserialize, Serialize};
 
 /// The part of the allowance that is used; the rest absorbs requests that are counted elsewhere at another time.
-const USABLE: f64 = 0.85;
+const USABLE: f64 = 0.75;
 
 /// The part of the whole allowance up to which a host may use more than its own part.
-const SHARED: f64 = 0.8;
+const SHARED: f64 = 0.5;
 /// How many times its own part a host may use; bounds what many hosts use before they hear of each other.
-const MOST_PARTS: f64 = 8.0;
+const MOST_PARTS: f64 = 4.0;
 /// The counts of a peer that has told nothing for this long are dropped.
 const PEER_LIFETIME: Duration = Duration::from_secs(5);
 
