--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 //! | [`outbound`] | client connections to targets, the store and peers |
 //! | [`peers`] | other entry hosts and the reports exchanged with them |
 //! | [`platform`] | the platform's store |
+//! | [`reachability`] | distinguishes unreachable engines from trouble of this host's link |
 //! | [`rollout`] | orders that move a service to another version |
 //! | [`rollouts`] | rollout orders known to a host, with their trials |
 //! | [`route`] | routing table: route and account of a request |
@@ -64,6 +65,7 @@
 pub mod peers;
 mod peers_runner;
 pub mod platform;
+pub mod reachability;
 mod registry;
 mod reply;
 mod response;
--- a/crates/gateway/src/outbound.rs
+++ b/crates/gateway/src/outbound.rs
@@ -143,12 +143,6 @@
     }
 }
 
-/// Returns whether the host of an address responds to a connection attempt within a timeout. A refused connection counts
-/// as a response: a draining server accepts no new connections, and one that has exited resets its existing ones.
-pub(crate) async fn is_reachable(address: SocketAddr, connect_timeout: Duration) -> bool {
-    timeout(connect_timeout, TcpStream::connect(address)).await.is_ok()
-}
-
 /// Formats an error with the chain of its sources.
 pub(crate) fn format_chain(error: &dyn std::error::Error) -> String {
     let mut text = error.to_string();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -124,6 +124,19 @@
         )
     }
 
+    /// Returns the peer address of a random live host, outside a data centre if there is one.
+    pub(crate) fn reference_address(&self, data_centre: &str) -> Option<SocketAddr> {
+        let table = self.table.borrow();
+        let live = table.others().filter(|member| member.is_live()).collect::<Vec<_>>();
+        let outside = live.iter().filter(|member| member.data_centre.as_str() != data_centre);
+        let outside = outside.collect::<Vec<_>>();
+        let chosen = outside
+            .choose(&mut rand::rng())
+            .copied()
+            .or_else(|| live.choose(&mut rand::rng()));
+        chosen.map(|member| member.peer_address)
+    }
+
     /// Returns the addresses of live peers and seeds from which missing state can be fetched.
     pub fn fetch_addresses(&self) -> Vec<SocketAddr> {
         let table = self.table.borrow();
--- a/crates/gateway/src/stall.rs
+++ b/crates/gateway/src/stall.rs
@@ -2,17 +2,15 @@
 
 use std::time::Duration;
 
+use crate::event::Event;
 use crate::gateway::Gateway;
-use crate::outbound;
+use crate::reachability::{self, Finding};
 use crate::target::Target;
 
 /// The time without data after which a new connection is opened to check whether the engine's host is reachable.
 const PROBE_INTERVAL: Duration = Duration::from_millis(180);
 /// The same for an engine that is suspect already.
 const SUSPECT_PROBE_INTERVAL: Duration = Duration::from_millis(60);
-/// The timeout of a probe's connection. Round trips take a few milliseconds; TCP retransmits a lost packet after a
-/// second.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(60);
 /// The time without data after which a stream is resumed from its backup although the engine accepts connections. The
 /// connection of the stream itself may be broken without notice.
 const TIMEOUT_WITH_BACKUP: Duration = Duration::from_millis(560);
@@ -104,10 +102,24 @@
             tokio::select! {
                 biased;
                 output = future.as_mut() => return Ok(output),
-                is_reachable = outbound::is_reachable(target.address, PROBE_TIMEOUT) => if !is_reachable {
-                    return Err(Stall::Unreachable);
+                finding = reachability::probe(gateway, target) => match finding {
+                    Finding::Reachable => {}
+                    Finding::Unreachable => return Err(Stall::Unreachable),
+                    Finding::Inconclusive => {
+                        log_suspected_link(target);
+                        return Err(Stall::Unreachable);
+                    }
                 },
             }
         }
     }
 }
+
+fn log_suspected_link(target: &Target) {
+    Event::LinkSuspected {
+        target: &target.id,
+        data_centre: &target.data_centre,
+        what: "an engine's host does not respond, and other hosts do not respond either; the link of this host may be slow",
+    }
+    .log();
+}
