--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -80,6 +80,7 @@
 mod stream_attempt;
 pub mod stream_output;
 mod stream_progress;
+mod stream_retries;
 mod successor;
 mod sync;
 pub mod target;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -26,8 +26,6 @@
 const CHOICE_TIMEOUT: Duration = Duration::from_millis(1500);
 /// The `Retry-After` of a stream for which there is no engine.
 const NO_ENGINE_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// The maximum number of attempts of a stream.
-const MAX_ATTEMPTS: u32 = 12;
 
 /// Serves a request for a stream.
 pub(crate) async fn run(gateway: &Rc<Gateway>, job: Job) -> Response<Body> {
@@ -35,9 +33,6 @@
     let run = Run {
         trial_versions: gateway.trial_versions(&job.service),
         stream: Progress::new(gateway, job, output),
-        attempts: 0,
-        failed_runs: 0,
-        counted_runs: 0,
         is_finished: false,
     };
     let task = Task(tokio::task::spawn_local(run.run()));
@@ -65,11 +60,6 @@
     stream: Progress,
     /// The versions for the first attempt, until it is made; `None` without a rollout order for the service.
     trial_versions: Option<Versions>,
-    attempts: u32,
-    /// The number of attempts that ran and failed.
-    failed_runs: u32,
-    /// The failed runs that count towards the attempt limit of the route: those whose engine's host is still reachable.
-    counted_runs: u32,
     is_finished: bool,
 }
 
@@ -87,7 +77,7 @@
             if let Some(failure) = failure.take() {
                 self.log_continued(&failure, &attempt);
             }
-            self.attempts += 1;
+            self.stream.retries.attempts += 1;
             self.trial_versions = None;
             let sent = self.stream.gateway.now();
             let outcome = attempt.run(&mut self.stream).await;
@@ -111,8 +101,7 @@
                     is_unreachable,
                 } => {
                     self.stream.record_trial(target, trial::Outcome::Failed);
-                    self.failed_runs += 1;
-                    self.counted_runs += u32::from(!is_unreachable);
+                    self.stream.retries.record_failure(is_unreachable);
                     self.log_failure(target, &reason, "yes", took_ms);
                     self.stream.excluded.push(target.id.clone());
                     if !self.stream.job.route.resumable {
@@ -121,27 +110,13 @@
                     failure = Some(Failure::new(target, stalled_for));
                 }
             }
-            if let Some(reason) = self.reason_to_stop() {
+            let stream = &mut self.stream;
+            if let Some(reason) = stream.retries.reason_to_stop(&stream.gateway, &stream.job) {
                 return self.give_up(reason);
             }
         }
     }
 
-    /// Returns why the stream must not be retried; otherwise takes a retry from the budget and returns `None`.
-    fn reason_to_stop(&self) -> Option<&'static str> {
-        let (gateway, job) = (&self.stream.gateway, &self.stream.job);
-        if self.counted_runs >= job.route.max_attempts.max(1) {
-            return Some("the attempt limit of the route is reached");
-        }
-        if self.attempts >= MAX_ATTEMPTS {
-            return Some("too many engines did not run the request");
-        }
-        if job.time_left(gateway).is_zero() {
-            return Some("the deadline has passed");
-        }
-        (!gateway.try_retry(&job.service)).then_some("the retry budget is exhausted")
-    }
-
     /// Chooses the backup of the failed attempt, or else the best engine; waits up to [`CHOICE_TIMEOUT`] for one.
     async fn next_attempt(&mut self) -> Option<Attempt> {
         let copies = [self.stream.backup.take(), self.stream.copier.take()];
@@ -194,7 +169,7 @@
     /// Records the mean interval between the events of a stream that a single engine completed, for the trial of its version.
     fn record_event_interval(&self, target: &Target, first: Instant) {
         let intervals = u32::try_from(self.stream.output.events.saturating_sub(1)).unwrap_or(u32::MAX);
-        if intervals > 0 && self.failed_runs == 0 {
+        if intervals > 0 && self.stream.retries.failed_runs == 0 {
             let interval = self.stream.output.last_at.since(first) / intervals;
             self.stream.record_trial(target, trial::Outcome::Streamed(interval));
         }
@@ -217,7 +192,7 @@
         Event::AttemptFailed {
             request: &self.stream.job.metadata.id,
             target: &target.id,
-            attempt: self.attempts,
+            attempt: self.stream.retries.attempts,
             reason,
             ran,
             took_ms,
@@ -242,7 +217,7 @@
             route: &self.stream.job.route.name,
             account: self.stream.job.account_name(),
             target: &target.id,
-            attempts: self.attempts,
+            attempts: self.stream.retries.attempts,
             events: self.stream.output.events,
             first_ms: millis(first.since(self.stream.job.started)),
             longest_pause_ms: millis(self.stream.output.longest_pause),
@@ -261,7 +236,7 @@
             account: self.stream.job.account_name(),
             status: response.status().as_u16(),
             target: "",
-            attempts: self.attempts,
+            attempts: self.stream.retries.attempts,
             took_ms: self.stream.job.took_ms(&self.stream.gateway),
             config: self.stream.job.config,
             what: "a request was answered",
@@ -272,7 +247,7 @@
 
     /// Ends a stream that cannot be completed.
     fn give_up(&mut self, reason: &'static str) {
-        if !self.stream.output.has_begun() && self.failed_runs == 0 {
+        if !self.stream.output.has_begun() && self.stream.retries.failed_runs == 0 {
             return self.refuse(reason, NO_ENGINE_RETRY_AFTER);
         }
         self.is_finished = true;
@@ -280,7 +255,7 @@
             request: &self.stream.job.metadata.id,
             route: &self.stream.job.route.name,
             target: "",
-            attempts: self.attempts,
+            attempts: self.stream.retries.attempts,
             last_event: self.stream.last_event.unwrap_or_default(),
             reason,
             took_ms: self.stream.job.took_ms(&self.stream.gateway),
@@ -304,7 +279,7 @@
             route: &self.stream.job.route.name,
             status: StatusCode::SERVICE_UNAVAILABLE.as_u16(),
             reason,
-            attempts: self.attempts,
+            attempts: self.stream.retries.attempts,
             took_ms: self.stream.job.took_ms(&self.stream.gateway),
             config: self.stream.job.config,
             retry_after_ms: millis(retry_after),
--- a/crates/gateway/src/stream_attempt.rs
+++ b/crates/gateway/src/stream_attempt.rs
@@ -89,15 +89,7 @@
         let request = stream.job.request(&stream.gateway, &dispatch);
         let watchdog = Watchdog::for_first_event(stream.gateway.fleet().borrow().prefill_tokens(&target.id));
         let sent = stream.gateway.now();
-        let response = match watchdog
-            .watch(
-                &stream.gateway,
-                target,
-                stream.job.time_left(&stream.gateway),
-                connection.send(request),
-            )
-            .await
-        {
+        let response = match self.wait(stream, watchdog, connection.send(request)).await {
             Ok(Ok(response)) => response,
             Ok(Err(error)) => {
                 stream.gateway.suspect(target, "the connection failed");
@@ -127,6 +119,26 @@
             .await
     }
 
+    /// Waits for data of the engine. A slow engine is given up only if the stream may be resumed at another one.
+    async fn wait<T>(
+        &self,
+        stream: &mut Progress,
+        watchdog: Watchdog,
+        data: impl Future<Output = T>,
+    ) -> Result<T, Stall> {
+        let mut data = std::pin::pin!(data);
+        loop {
+            let remaining = stream.job.time_left(&stream.gateway);
+            let result = watchdog
+                .watch(&stream.gateway, &self.target, remaining, data.as_mut())
+                .await;
+            match result {
+                Err(Stall::Slow) if !stream.may_give_up(&self.target) => {}
+                result => return result,
+            }
+        }
+    }
+
     /// Forwards the events of the engine to the caller.
     async fn forward(
         &self,
@@ -149,15 +161,7 @@
             } else {
                 first_watchdog
             };
-            let frame = match watchdog
-                .watch(
-                    &stream.gateway,
-                    target,
-                    stream.job.time_left(&stream.gateway),
-                    body.frame(),
-                )
-                .await
-            {
+            let frame = match self.wait(stream, watchdog, body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(None) if !splitter.has_incomplete_event() && has_event => return Outcome::Completed,
                 Ok(None) => {
--- a/crates/gateway/src/stream_progress.rs
+++ b/crates/gateway/src/stream_progress.rs
@@ -7,6 +7,7 @@
 use crate::gateway::Gateway;
 use crate::job::Job;
 use crate::stream_output::Output;
+use crate::stream_retries::Retries;
 use crate::target::Target;
 use crate::trial;
 
@@ -18,6 +19,8 @@
     pub job: Job,
     /// The output to the caller.
     pub output: Output,
+    /// The attempts and their failures.
+    pub retries: Retries,
     /// The ids of engines that failed.
     pub excluded: Vec<String>,
     /// The id of the last event that the caller has received.
@@ -36,6 +39,7 @@
             last_event: job.metadata.last_event,
             job,
             output,
+            retries: Retries::default(),
             excluded: Vec::new(),
             backup: None,
             copier: Copier::default(),
@@ -67,6 +71,28 @@
         fleet.choose_backup(self.gateway.now(), target, criteria, need)
     }
 
+    /// Returns whether a slow engine may be given up, and reserves the retry for that. A stream that cannot be resumed
+    /// elsewhere waits for its engine until the deadline.
+    pub(crate) fn may_give_up(&mut self, target: &Target) -> bool {
+        if self.job.time_left(&self.gateway).is_zero() {
+            return true;
+        }
+        self.job.route.resumable && self.has_alternative(target) && self.retries.try_reserve(&self.gateway, &self.job)
+    }
+
+    /// Returns whether another engine than the current one could run the stream.
+    fn has_alternative(&self, target: &Target) -> bool {
+        let mut excluded = self.excluded.clone();
+        excluded.push(target.id.clone());
+        let criteria = Criteria {
+            service: &self.job.service,
+            versions: &self.gateway.stable_versions(&self.job.service),
+            excluded: &excluded,
+        };
+        let mut fleet = self.gateway.fleet().borrow_mut();
+        fleet.choose_stream(self.gateway.now(), criteria, self.need()).is_some()
+    }
+
     /// Starts a new copy of the run if its backup has failed.
     pub(crate) fn maintain_backup(&mut self, target: &Rc<Target>) {
         let has_failed = self.backup.as_ref().is_some_and(|backup| {
