--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -21,6 +21,7 @@
 use crate::job::Job;
 use crate::load::Load;
 use crate::outbound::{Connection, Failure};
+use crate::reachability;
 use crate::reply::{self, Verdict};
 use crate::response;
 use crate::target::Target;
@@ -167,7 +168,7 @@
         let mut connection = match connected {
             Ok(connection) => connection,
             Err(error) => {
-                self.gateway.suspect(target, "cannot connect");
+                reachability::record_connect_failure(self.gateway, target, &error);
                 return Outcome::NotRun {
                     reason: error.to_string(),
                     was_received: false,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,8 @@
 //! | [`route`] | routing table: route and account of a request |
 //! | [`run`] | startup, signals, shutdown |
 //! | [`settings`] | settings file |
+//! | [`stall`] | detection of engines that send no data |
+//! | [`stall_timer`] | measurement of an engine's silence |
 //! | [`stream_output`] | output of a stream to its caller |
 //! | [`target`] | targets as the platform lists them |
 //! | [`trial`] | the trial of a new version and its verdict |
@@ -75,7 +77,8 @@
 pub mod route;
 pub mod run;
 pub mod settings;
-mod stall;
+pub mod stall;
+pub mod stall_timer;
 mod stream;
 mod stream_attempt;
 pub mod stream_output;
--- a/crates/gateway/src/outbound.rs
+++ b/crates/gateway/src/outbound.rs
@@ -28,6 +28,14 @@
         /// The error.
         reason: String,
     },
+    /// There was no response to the connection attempt, so nothing was sent.
+    #[error("cannot connect to {address}: no response within {limit:?}; check that its host and the network are up")]
+    ConnectTimeout {
+        /// The address.
+        address: SocketAddr,
+        /// The timeout.
+        limit: Duration,
+    },
     /// The connection failed after the request may have been sent.
     #[error("connection to {address} failed: {reason}; the outcome is unknown")]
     Broken {
@@ -64,12 +72,15 @@
     ///
     /// # Errors
     ///
-    /// Fails with [`Failure::Connect`].
+    /// Fails with [`Failure::Connect`] or [`Failure::ConnectTimeout`].
     pub async fn open(address: SocketAddr, connect_timeout: Duration) -> Result<Self, Failure> {
         let failed = |reason: String| Failure::Connect { address, reason };
         let connected = timeout(connect_timeout, TcpStream::connect(address)).await;
         let stream = connected
-            .map_err(|_elapsed| failed(format!("no response within {connect_timeout:?}")))?
+            .map_err(|_elapsed| Failure::ConnectTimeout {
+                address,
+                limit: connect_timeout,
+            })?
             .map_err(|error| failed(error.to_string()))?;
         stream.set_nodelay(true).map_err(|error| failed(error.to_string()))?;
         let handshake = http1::Builder::new()
--- a/crates/gateway/src/reachability.rs
+++ b/crates/gateway/src/reachability.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 use std::pin::pin;
+use std::rc::Rc;
 use std::time::Duration;
 
 use futures_util::stream::{FuturesUnordered, StreamExt};
@@ -12,7 +13,9 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::event::Event;
 use crate::gateway::Gateway;
+use crate::outbound::Failure;
 use crate::target::Target;
 
 /// The timeout of a connection attempt. Round trips take a few milliseconds; TCP retransmits a lost packet after a
@@ -53,6 +56,34 @@
     }
 }
 
+/// Records a failed connection attempt. A target that did not respond in time becomes suspect only when other hosts
+/// respond, because the suspicion is reported to all entry hosts.
+pub(crate) fn record_connect_failure(gateway: &Rc<Gateway>, target: &Rc<Target>, failure: &Failure) {
+    const REASON: &str = "cannot connect";
+    if !matches!(failure, Failure::ConnectTimeout { .. }) {
+        gateway.suspect(target, REASON);
+        return;
+    }
+    let (gateway, target) = (Rc::clone(gateway), Rc::clone(target));
+    tokio::task::spawn_local(async move {
+        let references = references(&gateway, &target);
+        match timeout(PROBE_TIMEOUT, first_response(&references)).await {
+            Ok(()) => gateway.suspect(&target, REASON),
+            Err(_elapsed) => log_suspected_link(&target),
+        }
+    });
+}
+
+/// Logs that neither a target's host nor another one responds.
+pub(crate) fn log_suspected_link(target: &Target) {
+    Event::LinkSuspected {
+        target: &target.id,
+        data_centre: &target.data_centre,
+        what: "an engine's host does not respond, and other hosts do not respond either; the link of this host may be slow",
+    }
+    .log();
+}
+
 /// Waits for a response to a connection attempt. A refused connection counts as a response: a draining server accepts no
 /// new connections, and one that has exited resets its existing ones.
 async fn connect(address: SocketAddr) {
--- a/crates/gateway/src/stall.rs
+++ b/crates/gateway/src/stall.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use crate::event::Event;
 use crate::gateway::Gateway;
 use crate::reachability::{self, Finding};
+use crate::stall_timer::Timer;
 use crate::target::Target;
 
 /// The time without data after which a new connection is opened to check whether the engine's host is reachable.
@@ -28,7 +28,7 @@
 
 /// The reason to give up waiting for an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Stall {
+pub enum Stall {
     /// The engine's host accepts no connection.
     Unreachable,
     /// The host accepts connections, but the request makes no progress: its connection may be broken without notice.
@@ -82,11 +82,12 @@
         future: impl Future<Output = T>,
     ) -> Result<T, Stall> {
         let mut future = std::pin::pin!(future);
-        let started = gateway.now();
-        let limit = self.timeout.min(remaining);
+        let deadline = gateway.now() + remaining;
+        let mut timer = Timer::start(gateway.now(), self.timeout);
         loop {
-            let waited = gateway.now().since(started);
-            if waited >= limit {
+            let now = gateway.now();
+            let limit = timer.remaining(now).min(deadline.since(now));
+            if limit.is_zero() {
                 return Err(Stall::Slow);
             }
             let is_suspect = gateway.fleet().borrow().is_suspect(gateway.now(), &target.id);
@@ -95,31 +96,21 @@
             } else {
                 self.probe_interval
             };
-            let wait = wait.min(limit.saturating_sub(waited));
-            if let Some(output) = gateway.timer().timeout(wait, future.as_mut()).await {
+            if let Some(output) = gateway.timer().timeout(wait.min(limit), future.as_mut()).await {
                 return Ok(output);
             }
             tokio::select! {
                 biased;
                 output = future.as_mut() => return Ok(output),
-                finding = reachability::probe(gateway, target) => match finding {
-                    Finding::Reachable => {}
-                    Finding::Unreachable => return Err(Stall::Unreachable),
-                    Finding::Inconclusive => {
-                        log_suspected_link(target);
-                        return Err(Stall::Unreachable);
+                finding = reachability::probe(gateway, target) => {
+                    if let Some(stall) = timer.record(gateway.now(), finding) {
+                        return Err(stall);
                     }
-                },
+                    if finding == Finding::Inconclusive {
+                        reachability::log_suspected_link(target);
+                    }
+                }
             }
         }
     }
 }
-
-fn log_suspected_link(target: &Target) {
-    Event::LinkSuspected {
-        target: &target.id,
-        data_centre: &target.data_centre,
-        what: "an engine's host does not respond, and other hosts do not respond either; the link of this host may be slow",
-    }
-    .log();
-}
--- /dev/null
+++ b/crates/gateway/src/stall_timer.rs
@@ -0,0 +1,40 @@
+//! Measures the silence of an engine.
+
+use std::time::Duration;
+
+use hawthornpost_core::clock::Instant;
+
+use crate::reachability::Finding;
+use crate::stall::Stall;
+
+/// The time since an engine last sent data or could not be judged.
+#[derive(Clone, Copy, Debug)]
+pub struct Timer {
+    since: Instant,
+    timeout: Duration,
+}
+
+impl Timer {
+    /// Starts to measure; a silence longer than `timeout` is a stall.
+    pub fn start(now: Instant, timeout: Duration) -> Self {
+        Self { since: now, timeout }
+    }
+
+    /// Returns the time until the silence is a stall.
+    pub fn remaining(&self, now: Instant) -> Duration {
+        (self.since + self.timeout).since(now)
+    }
+
+    /// Applies the finding of a probe and returns the stall that it proves. Silence while no host responds says nothing
+    /// about the engine and is not counted.
+    pub fn record(&mut self, now: Instant, finding: Finding) -> Option<Stall> {
+        match finding {
+            Finding::Reachable => None,
+            Finding::Unreachable => Some(Stall::Unreachable),
+            Finding::Inconclusive => {
+                self.since = now;
+                None
+            }
+        }
+    }
+}
--- a/crates/gateway/src/stream_attempt.rs
+++ b/crates/gateway/src/stream_attempt.rs
@@ -18,6 +18,7 @@
 use crate::headers;
 use crate::load::Load;
 use crate::outbound::{self, Connection};
+use crate::reachability;
 use crate::reply::{self, Verdict};
 use crate::stall::{Stall, Watchdog};
 use crate::stream_progress::Progress;
@@ -70,7 +71,7 @@
         let mut connection = match connected {
             Ok(connection) => connection,
             Err(error) => {
-                stream.gateway.suspect(target, "cannot connect");
+                reachability::record_connect_failure(&stream.gateway, target, &error);
                 return Outcome::NotRun(error.to_string());
             }
         };
--- /dev/null
+++ b/crates/gateway/tests/stall_timer.rs
@@ -0,0 +1,35 @@
+//! Measurement of an engine's silence.
+
+use std::time::Duration;
+
+use hawthornpost_core::clock::Instant;
+use hawthornpost_gateway::reachability::Finding;
+use hawthornpost_gateway::stall::Stall;
+use hawthornpost_gateway::stall_timer::Timer;
+
+const TIMEOUT: Duration = Duration::from_millis(560);
+const PROBE_INTERVAL: Duration = Duration::from_millis(240);
+
+/// Guards against streams that are resumed elsewhere while the link of this host is full: every engine was held to be
+/// unreachable, in turn, until the retry budget was exhausted.
+#[test]
+fn silence_of_all_hosts_is_not_held_against_an_engine() {
+    let mut now = Instant::ZERO;
+    let mut timer = Timer::start(now, TIMEOUT);
+    for _ in 0..100 {
+        now = now + PROBE_INTERVAL;
+        assert_eq!(timer.record(now, Finding::Inconclusive), None);
+        assert_eq!(timer.remaining(now), TIMEOUT);
+    }
+}
+
+/// Guards against an engine that accepts connections and never responds, and against one whose host is down.
+#[test]
+fn silence_of_an_engine_alone_is_a_stall() {
+    let mut timer = Timer::start(Instant::ZERO, TIMEOUT);
+    let now = Instant::ZERO + PROBE_INTERVAL;
+    assert_eq!(timer.record(now, Finding::Reachable), None);
+    assert_eq!(timer.remaining(now), (Instant::ZERO + TIMEOUT).since(now));
+    assert_eq!(timer.remaining(now + TIMEOUT), Duration::ZERO);
+    assert_eq!(timer.record(now, Finding::Unreachable), Some(Stall::Unreachable));
+}
