Let streams go when no host responds for three seconds (LOST)

Cause: with the silence of all hosts not counted at all, a host that is cut off would keep its streams, which callers could resume at other hosts. Change: such silence is not counted for 3 s at most. Evidence: a_long_silence_of_all_hosts_is_a_stall did not end before.

--- a/crates/gateway/src/stall_timer.rs
+++ b/crates/gateway/src/stall_timer.rs
@@ -7,9 +7,14 @@
 use crate::reachability::Finding;
 use crate::stall::Stall;
 
+/// How long the silence of all hosts is not held against an engine. A link that is full recovers sooner; after that, this
+/// host is cut off, and its callers are served better by other entry hosts.
+const MAX_INCONCLUSIVE: Duration = Duration::from_secs(3);
+
 /// The time since an engine last sent data or could not be judged.
 #[derive(Clone, Copy, Debug)]
 pub struct Timer {
+    started: Instant,
     since: Instant,
     timeout: Duration,
 }
@@ -17,7 +22,11 @@
 impl Timer {
     /// Starts to measure; a silence longer than `timeout` is a stall.
     pub fn start(now: Instant, timeout: Duration) -> Self {
-        Self { since: now, timeout }
+        Self {
+            started: now,
+            since: now,
+            timeout,
+        }
     }
 
     /// Returns the time until the silence is a stall.
@@ -26,13 +35,15 @@
     }
 
     /// Applies the finding of a probe and returns the stall that it proves. Silence while no host responds says nothing
-    /// about the engine and is not counted.
+    /// about the engine and is not counted, up to [`MAX_INCONCLUSIVE`].
     pub fn record(&mut self, now: Instant, finding: Finding) -> Option<Stall> {
         match finding {
             Finding::Reachable => None,
             Finding::Unreachable => Some(Stall::Unreachable),
             Finding::Inconclusive => {
-                self.since = now;
+                if now.since(self.started) <= MAX_INCONCLUSIVE {
+                    self.since = now;
+                }
                 None
             }
         }
