Exit only when the responses have reached their callers (LOST)

Callers that read slowly saw a response end in the middle while its host stopped, although the grace time had not passed. Cause: a stopping process exits when no request is open, and a request is done when its response is handed to the HTTP library, not when it is written. Up to 256 parts of a stream, or the rest of a large response, were lost at the exit. Change: the open connections of callers are counted; in its last phase the process closes idle ones and exits when none is open, at the latest when it exited before. Conclusion: an exit no longer cuts a response while the grace time lasts.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -45,6 +45,7 @@
     rollouts: RefCell<Rollouts>,
     peers: Peers,
     phase: watch::Sender<Phase>,
+    open_connections: Cell<usize>,
     open_requests: Cell<usize>,
     body_bytes: Cell<usize>,
 }
@@ -99,6 +100,7 @@
             rollouts: RefCell::new(Rollouts::new(settings.rollouts)),
             peers: Peers::new(&settings),
             phase: watch::Sender::new(Phase::Running),
+            open_connections: Cell::default(),
             open_requests: Cell::default(),
             body_bytes: Cell::default(),
             limits: Cell::new(settings.limits),
@@ -292,6 +294,16 @@
         self.peers.set_draining(!self.is_ready());
     }
 
+    pub(crate) fn count_connection(&self, change: isize) {
+        self.open_connections
+            .set(self.open_connections.get().saturating_add_signed(change));
+    }
+
+    /// Returns the number of open connections of callers.
+    pub(crate) fn open_connections(&self) -> usize {
+        self.open_connections.get()
+    }
+
     /// Counts an open request until the returned guard is dropped.
     pub fn admit(self: &Rc<Self>) -> Admission {
         self.open_requests.set(self.open_requests.get() + 1);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod budget;
 mod call;
 pub mod config;
+mod connection_guard;
 mod datagram;
 pub mod dialect;
 mod directory;
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -13,6 +13,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::body::Body;
+use crate::connection_guard::Guard;
 use crate::error::{Kind, Result};
 use crate::gateway::{Gateway, Phase};
 use crate::head_guard::{Framing, Stream};
@@ -71,6 +72,7 @@
         log::debug!("cannot set TCP_NODELAY on the connection from {client}: {error}");
         return;
     }
+    let _guard = (purpose == Purpose::Callers).then(|| Guard::new(&gateway));
     let limits = gateway.table().limits();
     let handler = Rc::clone(&gateway);
     let (stream, head) = Stream::new(stream);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -123,6 +123,7 @@
 async fn drain(gateway: &Rc<Gateway>) {
     let grace = gateway.limits().grace;
     let started = gateway.now();
+    let exit = started + grace.saturating_sub(EXIT_MARGIN);
     Event::Stopping {
         grace_ms: millis(grace),
         open: gateway.open_requests(),
@@ -132,8 +133,7 @@
     gateway.advance(Phase::Leaving);
     gateway.timer().sleep(grace.mul_f64(IDLE_CONNECTIONS_FRACTION)).await;
     gateway.advance(Phase::Ending);
-    let end = started + grace.saturating_sub(EXIT_MARGIN);
-    while gateway.open_requests() > 0 && gateway.now() < end {
+    while has_open_work(gateway) && gateway.now() < exit {
         gateway.timer().sleep(SHUTDOWN_POLL_INTERVAL).await;
     }
     Event::Stopped {
@@ -144,6 +144,10 @@
     .log();
 }
 
+fn has_open_work(gateway: &Gateway) -> bool {
+    gateway.open_requests() > 0 || gateway.open_connections() > 0
+}
+
 async fn run_upkeep(gateway: &Gateway, buffer: &Buffer) {
     let mut last_upkeep = gateway.now();
     let mut reported_pause = None;
