Refuse requests that a stopping host cannot complete (LOST)

Callers that used an address until its process was gone saw requests run and end without a response. Cause: a stopping host passed requests on until it exited; those at work at that moment were cut. Change: in the last phase, a fifth of the grace time before its end, new requests are refused as not run and the caller is sent elsewhere; requests still open 0.1 s before the exit end with a failure instead of a closed connection. Conclusion: a stopping host gives every request that it read a response.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -45,6 +45,8 @@
     rollouts: RefCell<Rollouts>,
     peers: Peers,
     phase: watch::Sender<Phase>,
+    /// The deadline of the open requests of a stopping process.
+    shutdown_deadline: Cell<Option<Instant>>,
     open_connections: Cell<usize>,
     open_requests: Cell<usize>,
     body_bytes: Cell<usize>,
@@ -58,7 +60,7 @@
     /// The process drains: callers are directed to other hosts. Requests that still arrive are served, new streams are
     /// refused.
     Leaving,
-    /// Idle connections are closed, and streams that cannot complete in time are aborted.
+    /// Idle connections are closed, new requests are refused, and streams that cannot complete in time are aborted.
     Ending,
 }
 
@@ -100,6 +102,7 @@
             rollouts: RefCell::new(Rollouts::new(settings.rollouts)),
             peers: Peers::new(&settings),
             phase: watch::Sender::new(Phase::Running),
+            shutdown_deadline: Cell::default(),
             open_connections: Cell::default(),
             open_requests: Cell::default(),
             body_bytes: Cell::default(),
@@ -294,6 +297,16 @@
         self.peers.set_draining(!self.is_ready());
     }
 
+    /// Sets the deadline of the open requests of a stopping process.
+    pub(crate) fn set_shutdown_deadline(&self, deadline: Instant) {
+        self.shutdown_deadline.set(Some(deadline));
+    }
+
+    /// Returns the deadline of the open requests of a stopping process; `None` while it is not stopping.
+    pub(crate) fn shutdown_deadline(&self) -> Option<Instant> {
+        self.shutdown_deadline.get()
+    }
+
     pub(crate) fn count_connection(&self, change: isize) {
         self.open_connections
             .set(self.open_connections.get().saturating_add_signed(change));
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -130,6 +130,12 @@
 ) -> Result<Job, Rejection> {
     let admission = gateway.admit();
     let started = gateway.now();
+    if gateway.phase() == Phase::Ending {
+        return Err(Rejection::unavailable(
+            "this entry host is shutting down; try another one",
+            Duration::ZERO,
+        ));
+    }
     let table = gateway.table();
     if table.version() == 0 {
         let deadline = metadata.ok().and_then(|metadata| metadata.deadline);
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -42,9 +42,10 @@
 }
 
 impl Job {
-    /// Returns the remaining time until the deadline.
+    /// Returns the remaining time until the deadline of the request or of the shutdown.
     pub(crate) fn time_left(&self, gateway: &Gateway) -> Duration {
-        self.deadline.since(gateway.now())
+        let shutdown = gateway.shutdown_deadline().unwrap_or(self.deadline);
+        self.deadline.min(shutdown).since(gateway.now())
     }
 
     /// Returns the time since the request arrived, in milliseconds.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -27,6 +27,8 @@
 const IDLE_CONNECTIONS_FRACTION: f64 = 0.8;
 /// The process exits this long before the end of the grace time, before it would be killed.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
+/// Open requests end with a failure this long before the process exits, so that the response reaches the caller.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(100);
 /// The interval at which a stopping process checks for open requests.
 const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -124,6 +126,7 @@
     let grace = gateway.limits().grace;
     let started = gateway.now();
     let exit = started + grace.saturating_sub(EXIT_MARGIN);
+    gateway.set_shutdown_deadline(started + grace.saturating_sub(EXIT_MARGIN + RESPONSE_MARGIN));
     Event::Stopping {
         grace_ms: millis(grace),
         open: gateway.open_requests(),
