--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,10 +10,11 @@
 use tokio::sync::watch;
 
 use crate::budget::Budget;
-use crate::config::Config;
+use crate::config::{Config, Limits};
 use crate::dialect::Dialect;
 use crate::event::Event;
 use crate::fleet::Fleet;
+use crate::idle_timer;
 use crate::load::Load;
 use crate::peers::Peers;
 use crate::rollout::Order;
@@ -33,6 +34,7 @@
     settings: Settings,
     limits: Cell<LimitSettings>,
     timer: Timer,
+    idle_timer: idle_timer::Timer,
     dialect: Box<dyn Dialect>,
     config: RefCell<Option<Rc<Config>>>,
     table: RefCell<Rc<Table>>,
@@ -88,8 +90,11 @@
 impl Gateway {
     /// Creates the state of a process that has no configuration and no targets yet.
     pub fn new(settings: Settings, dialect: impl Dialect + 'static) -> Rc<Self> {
+        let idle_timer = idle_timer::Timer::default();
+        idle_timer.set_idle_timeout(Limits::default().idle_timeout);
         Rc::new(Self {
             timer: Timer::new(),
+            idle_timer,
             dialect: Box::new(dialect),
             config: RefCell::default(),
             table: RefCell::default(),
@@ -132,6 +137,11 @@
         &self.timer
     }
 
+    /// Returns the timer of idle connections.
+    pub(crate) fn idle_timer(&self) -> &idle_timer::Timer {
+        &self.idle_timer
+    }
+
     /// Returns the current time on the monotonic clock of the process.
     pub fn now(&self) -> Instant {
         self.timer.now()
@@ -165,6 +175,7 @@
         }
         let version = config.version;
         let table = Table::new(config.clone());
+        self.idle_timer.set_idle_timeout(table.limits().idle_timeout);
         *self.table.borrow_mut() = Rc::new(table);
         *self.config.borrow_mut() = Some(Rc::new(config));
         self.peers.set_config(version);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod gateway;
 mod head_guard;
 mod headers;
+mod idle_timer;
 mod ingress;
 mod job;
 mod listener;
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -9,7 +9,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::body::Body;
@@ -85,8 +85,8 @@
         }
     });
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout)
+        .timer(gateway.idle_timer().clone())
+        .header_read_timeout(Duration::ZERO)
         .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
         .auto_date_header(false)
         .serve_connection(TokioIo::new(stream), service);
