Refuse all requests with a part only after three separate crashes

Crashes that do not count yield to later ones. After two crashes only the request itself and its repeats, which share its last part, are refused. While a coincidence is possible (three crashes) one request is tried after 4 s.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -7,7 +7,7 @@
 use hyper::header::HeaderName;
 
 use crate::fleet::Report;
-use crate::prompt::Parts;
+use crate::prompt::{Part, Parts};
 
 /// Metadata of a client request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -26,6 +26,8 @@
     pub output_tokens: u64,
     /// The parts of the prompt that other requests may contain as well.
     pub shared_parts: Parts,
+    /// The last part of the prompt, which belongs to the request or its session.
+    pub own_part: Option<Part>,
 }
 
 /// Metadata that the gateway adds to a request for a target.
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -31,6 +31,8 @@
 const QUIET_PERIOD: Duration = Duration::from_secs(30);
 /// The time since the last crash after which one request is let through although requests kept coming.
 const MAX_PERIOD: Duration = Duration::from_secs(300);
+/// The same while a coincidence is not excluded, so that a sound part is soon served again.
+const WEAK_PERIOD: Duration = Duration::from_secs(4);
 
 /// The parts that crash engines, as far as a host knows.
 #[derive(Clone, Debug, Default)]
@@ -87,11 +89,13 @@
         }
     }
 
-    /// Returns the part because of which a request with these parts must not be sent.
-    pub fn quarantined(&self, parts: &Parts) -> Option<Part> {
+    /// Returns the part because of which a request must not be sent; `request` is [`Crash::request`].
+    pub fn quarantined(&self, request: &str, parts: &Parts) -> Option<Part> {
         let is_guilty = |part: &&Part| {
             self.evidence.get(part).is_some_and(|evidence| {
-                evidence.is_sufficient() && evidence.context.is_subset(parts) && !self.has_better_explanation(evidence)
+                evidence.is_sufficient(request)
+                    && evidence.context.is_subset(parts)
+                    && !self.has_better_explanation(evidence)
             })
         };
         parts.iter().find(is_guilty).cloned()
@@ -106,8 +110,8 @@
     }
 
     /// Decides about a request before it is sent, and records the decision.
-    pub fn admit(&mut self, now: Instant, parts: &Parts) -> Verdict {
-        let Some(part) = self.quarantined(parts) else {
+    pub fn admit(&mut self, now: Instant, request: &str, parts: &Parts) -> Verdict {
+        let Some(part) = self.quarantined(request, parts) else {
             return Verdict::Allowed;
         };
         let Some(evidence) = self.evidence.get_mut(&part) else {
@@ -115,7 +119,8 @@
         };
         let last_crash = Some(evidence.crashed_at).max(evidence.trial_at).unwrap_or_default();
         let last_request = Some(last_crash).max(evidence.refused_at).unwrap_or_default();
-        if now.since(last_request) >= QUIET_PERIOD || now.since(last_crash) >= MAX_PERIOD {
+        let max_period = if evidence.is_weak() { WEAK_PERIOD } else { MAX_PERIOD };
+        if now.since(last_request) >= QUIET_PERIOD || now.since(last_crash) >= max_period {
             evidence.trial_at = Some(now);
             return Verdict::Trial(part);
         }
@@ -189,7 +194,7 @@
             json!({
                 "part": part,
                 "crashes": evidence.crashes(),
-                "quarantined": self.quarantined(&evidence.context).is_some(),
+                "quarantined": evidence.is_conclusive() && !self.has_better_explanation(evidence),
                 "only_with": evidence.context,
                 "last_crash_ms": millis(now.since(evidence.crashed_at)),
                 "last_refused_ms": evidence.refused_at.map(|at| millis(now.since(at))),
@@ -213,6 +218,6 @@
     fn expire(&mut self, now: Instant) {
         self.cleared.retain(|_, at| now.since(*at) < CLEARED_TTL);
         self.evidence
-            .retain(|_, evidence| evidence.is_sufficient() || now.since(evidence.crashed_at) < SUSPICION_TTL);
+            .retain(|_, evidence| evidence.is_conclusive() || now.since(evidence.crashed_at) < SUSPICION_TTL);
     }
 }
--- a/crates/gateway/src/quarantine_evidence.rs
+++ b/crates/gateway/src/quarantine_evidence.rs
@@ -11,19 +11,19 @@
 
 /// Crashes within this time count as one, because a failure of several engines at once has another cause.
 const SIMULTANEOUS: Duration = Duration::from_millis(200);
-/// The number of crashes after which a part is suspected that several requests contain.
+/// The number of crashes after which requests with a part are refused.
 const MIN_CRASHES: usize = 3;
-/// The same for a part of a single request, which was retried after its first crash.
+/// The number of crashes after which a request that waited at all of them is not retried.
 const MIN_CRASHES_OF_ONE_REQUEST: usize = 2;
 /// The maximum number of crashes kept for a part.
-const MAX_CRASHES: usize = 8;
+const MAX_CRASHES: usize = 12;
 
 /// An engine that crashed while it held a request without events.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crash {
     /// The incarnation of the engine.
     pub engine: String,
-    /// The id of the request.
+    /// The last part of the request's prompt, which its repeats share, or else the id of the request.
     pub request: String,
 }
 
@@ -87,13 +87,22 @@
             return;
         }
         self.crashed_at = self.crashed_at.max(at);
-        if self.crashes.len() < MAX_CRASHES {
-            let crash = crash.clone();
-            self.crashes.push(Seen { crash, at });
-            self.crashes.sort_by_key(|seen| seen.at);
+        let crash = crash.clone();
+        self.crashes.push(Seen { crash, at });
+        self.crashes.sort_by_key(|seen| seen.at);
+        if self.crashes.len() > MAX_CRASHES {
+            self.remove_least_telling();
         }
     }
 
+    /// Removes a crash that does not count because another one occurred at the same time, or else the last one.
+    fn remove_least_telling(&mut self) {
+        let is_simultaneous = |pair: &[Seen]| pair[1].at.since(pair[0].at) < SIMULTANEOUS;
+        let simultaneous = self.crashes.windows(2).position(is_simultaneous);
+        let index = simultaneous.map_or(self.crashes.len() - 1, |first| first + 1);
+        self.crashes.remove(index);
+    }
+
     /// Removes crashes up to a time; returns whether there are others.
     pub(crate) fn remove_until(&mut self, limit: Instant) -> bool {
         self.crashes.retain(|seen| seen.at > limit);
@@ -120,19 +129,27 @@
         count
     }
 
-    /// Returns whether the crashes are enough to refuse requests.
-    pub(crate) fn is_sufficient(&self) -> bool {
-        if self.has_single_request() {
-            // A request is at one engine at a time, so its crashes are separate however soon they follow.
-            return self.engines().len() >= MIN_CRASHES_OF_ONE_REQUEST;
-        }
+    /// Returns whether the crashes are enough to refuse this request.
+    pub(crate) fn is_sufficient(&self, request: &str) -> bool {
+        self.is_conclusive() || self.has_repeated(request)
+    }
+
+    /// Returns whether the crashes are enough to refuse all requests with the part.
+    pub(crate) fn is_conclusive(&self) -> bool {
         self.crashes() >= MIN_CRASHES
     }
 
-    fn has_single_request(&self) -> bool {
-        let mut requests = self.crashes.iter().map(|seen| &seen.crash.request);
-        let first = requests.next();
-        requests.all(|request| Some(request) == first)
+    /// Returns whether the crashes are just enough, so that a coincidence is not excluded.
+    pub(crate) fn is_weak(&self) -> bool {
+        self.crashes() <= MIN_CRASHES
+    }
+
+    /// Returns whether a request waited at so many crashes that it is their likely cause. It is at one engine at a time, so
+    /// its crashes are separate however soon they follow.
+    fn has_repeated(&self, request: &str) -> bool {
+        let own = self.crashes.iter().filter(|seen| seen.crash.request == request);
+        let engines = own.map(|seen| &seen.crash.engine).collect::<BTreeSet<_>>();
+        engines.len() >= MIN_CRASHES_OF_ONE_REQUEST
     }
 
     /// Returns whether this part was at all crashes of another one, and at more.
--- a/crates/gateway/src/quarantine_shared.rs
+++ b/crates/gateway/src/quarantine_shared.rs
@@ -49,8 +49,8 @@
         self.changed.send_replace(());
     }
 
-    pub(crate) fn admit(&self, now: Instant, parts: &Parts) -> Verdict {
-        self.state.borrow_mut().admit(now + CLOCK_OFFSET, parts)
+    pub(crate) fn admit(&self, now: Instant, request: &str, parts: &Parts) -> Verdict {
+        self.state.borrow_mut().admit(now + CLOCK_OFFSET, request, parts)
     }
 
     pub(crate) fn snapshot(&self, now: Instant) -> Option<Snapshot> {
@@ -61,15 +61,15 @@
         self.state.borrow().dump(now + CLOCK_OFFSET)
     }
 
-    pub(crate) fn quarantined(&self, parts: &Parts) -> Option<Part> {
-        self.state.borrow().quarantined(parts)
+    pub(crate) fn quarantined(&self, request: &str, parts: &Parts) -> Option<Part> {
+        self.state.borrow().quarantined(request, parts)
     }
 
-    /// Waits until a request with these parts must not run.
-    pub(crate) async fn wait_quarantined(&self, parts: &Parts) -> Part {
+    /// Waits until a request must not run.
+    pub(crate) async fn wait_quarantined(&self, request: &str, parts: &Parts) -> Part {
         let mut changed = self.changed.subscribe();
         loop {
-            if let Some(part) = self.quarantined(parts) {
+            if let Some(part) = self.quarantined(request, parts) {
                 return part;
             }
             // The sender lives as long as this.
--- a/crates/gateway/src/screening.rs
+++ b/crates/gateway/src/screening.rs
@@ -24,6 +24,9 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Screening {
     gateway: Rc<Gateway>,
+    /// The id of the request.
+    id: String,
+    /// What identifies the request and its repeats to other hosts.
     request: String,
     parts: Parts,
     has_begun: Rc<Cell<bool>>,
@@ -33,10 +36,14 @@
 impl Screening {
     /// Creates the state of a stream without events.
     pub(crate) fn new(gateway: &Rc<Gateway>, job: &Job) -> Self {
+        let metadata = &job.metadata;
+        let own_part = metadata.own_part.as_ref().map(Part::to_string);
+        let request = own_part.unwrap_or_else(|| metadata.id.chars().take(MAX_REQUEST_ID_CHARS).collect());
         Self {
             gateway: Rc::clone(gateway),
-            request: job.metadata.id.clone(),
-            parts: job.metadata.shared_parts.clone(),
+            id: metadata.id.clone(),
+            request,
+            parts: metadata.shared_parts.clone(),
             has_begun: Rc::default(),
             is_trial: Rc::default(),
         }
@@ -47,7 +54,11 @@
         if self.has_begun.get() || self.is_trial.get() || self.parts.is_empty() {
             return true;
         }
-        match self.gateway.quarantine().admit(self.gateway.now(), &self.parts) {
+        match self
+            .gateway
+            .quarantine()
+            .admit(self.gateway.now(), &self.request, &self.parts)
+        {
             Verdict::Allowed => true,
             Verdict::Trial(part) => {
                 self.is_trial.set(true);
@@ -67,7 +78,11 @@
 
     /// Waits until the request must not run, although it was sent; forever once an engine has begun to answer it.
     pub(crate) async fn revoked(self) {
-        let part = self.gateway.quarantine().wait_quarantined(&self.parts).await;
+        let part = self
+            .gateway
+            .quarantine()
+            .wait_quarantined(&self.request, &self.parts)
+            .await;
         if self.has_begun.get() || self.is_trial.get() {
             std::future::pending::<()>().await;
         }
@@ -113,13 +128,13 @@
         self.is_trial.set(false);
         let crash = Crash {
             engine: format!("{}/{}", target.id, target.started.unwrap_or_default()),
-            request: self.request.chars().take(MAX_REQUEST_ID_CHARS).collect(),
+            request: self.request.clone(),
         };
         let quarantine = self.gateway.quarantine();
         quarantine.record_crash(self.gateway.now(), &crash, &self.parts);
         let parts = self.parts.clone();
         self.gateway.peers().broadcast(Datagram::Crash { crash, parts });
-        if quarantine.quarantined(&self.parts).is_some() {
+        if quarantine.quarantined(&self.request, &self.parts).is_some() {
             self.share_evidence();
             self.gateway.timer().sleep(EXPLANATION_DELAY).await;
         }
@@ -135,7 +150,7 @@
     fn log_crash(&self, target: &Target) {
         let parts = self.parts.iter().map(Part::to_string).collect::<Vec<_>>();
         Event::EngineCrashed {
-            request: &self.request,
+            request: &self.id,
             target: &target.id,
             data_centre: &target.data_centre,
             prompt: if self.has_begun.get() { "answering" } else { "waiting" },
@@ -147,7 +162,7 @@
 
     fn log_decision(&self, part: &Part, what: &'static str) {
         Event::PartQuarantined {
-            request: &self.request,
+            request: &self.id,
             part: &part.to_string(),
             what,
         }
