--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 use crate::idle_timer;
 use crate::load::Load;
 use crate::peers::Peers;
+use crate::quarantine_shared::Shared;
 use crate::rollout::Order;
 use crate::rollouts::Rollouts;
 use crate::route::Table;
@@ -45,6 +46,7 @@
     replaced: RefCell<Vec<Replacement>>,
     budget: RefCell<Budget>,
     rollouts: RefCell<Rollouts>,
+    quarantine: Shared,
     peers: Peers,
     phase: watch::Sender<Phase>,
     /// The deadline of the open requests of a stopping process.
@@ -105,6 +107,7 @@
             replaced: RefCell::default(),
             budget: RefCell::new(Budget::new(settings.limits.retries)),
             rollouts: RefCell::new(Rollouts::new(settings.rollouts)),
+            quarantine: Shared::new(),
             peers: Peers::new(&settings),
             phase: watch::Sender::new(Phase::Running),
             shutdown_deadline: Cell::default(),
@@ -218,6 +221,11 @@
         &self.rollouts
     }
 
+    /// Returns the parts of prompts that crash engines.
+    pub(crate) fn quarantine(&self) -> &Shared {
+        &self.quarantine
+    }
+
     /// Stores a rollout order read from the store.
     pub(crate) fn put_rollout(&self, order: Order) {
         let before = self.fleet.borrow().versions_of(&order.service);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,8 @@
 //! | [`outbound`] | client connections to targets, the store and peers |
 //! | [`peers`] | other entry hosts and the reports exchanged with them |
 //! | [`platform`] | the platform's store |
+//! | [`prompt`] | parts of a prompt |
+//! | [`quarantine`] | parts of prompts that crash engines |
 //! | [`reachability`] | distinguishes unreachable engines from trouble of this host's link |
 //! | [`rollout`] | orders that move a service to another version |
 //! | [`rollouts`] | rollout orders known to a host, with their trials |
@@ -69,6 +71,10 @@
 pub mod peers;
 mod peers_runner;
 pub mod platform;
+pub mod prompt;
+pub mod quarantine;
+mod quarantine_evidence;
+mod quarantine_shared;
 pub mod reachability;
 mod registry;
 mod reply;
@@ -78,6 +84,7 @@
 mod rollouts_runner;
 pub mod route;
 pub mod run;
+mod screening;
 pub mod settings;
 pub mod stall;
 pub mod stall_timer;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -26,6 +26,8 @@
 const CHOICE_TIMEOUT: Duration = Duration::from_millis(1500);
 /// The `Retry-After` of a stream for which there is no engine.
 const NO_ENGINE_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// The reason to refuse a stream because of its prompt.
+const QUARANTINED: &str = "a part of the prompt crashes engines";
 
 /// Serves a request for a stream.
 pub(crate) async fn run(gateway: &Rc<Gateway>, job: Job) -> Response<Body> {
@@ -71,6 +73,9 @@
         }
         let mut failure: Option<Failure> = None;
         loop {
+            if !self.stream.screening.admit() {
+                return self.give_up(QUARANTINED);
+            }
             let Some(attempt) = self.next_attempt().await else {
                 return self.give_up("no engine accepts the stream");
             };
@@ -80,7 +85,15 @@
             self.stream.retries.attempts += 1;
             self.trial_versions = None;
             let sent = self.stream.gateway.now();
-            let outcome = attempt.run(&mut self.stream).await;
+            let revoked = self.stream.screening.clone().revoked();
+            let outcome = tokio::select! {
+                biased;
+                () = revoked => {
+                    self.stream.retries.failed_runs += 1;
+                    return self.give_up(QUARANTINED);
+                }
+                outcome = attempt.run(&mut self.stream) => outcome,
+            };
             let took_ms = millis(self.stream.gateway.now().since(sent));
             let target = &attempt.target;
             match outcome {
@@ -99,7 +112,11 @@
                     reason,
                     stalled_for,
                     is_unreachable,
+                    is_disconnected,
                 } => {
+                    if is_disconnected {
+                        self.stream.screening.record_disconnect(target).await;
+                    }
                     self.stream.record_trial(target, trial::Outcome::Failed);
                     self.stream.retries.record_failure(is_unreachable);
                     self.log_failure(target, &reason, "yes", took_ms);
@@ -287,7 +304,7 @@
         }
         .log();
         self.stream.output.respond(response::refusal(
-            "no engine has room; the request did not run, try again",
+            "no engine takes the request; it did not run, try again",
             retry_after,
         ));
     }
--- a/crates/gateway/src/stream_progress.rs
+++ b/crates/gateway/src/stream_progress.rs
@@ -6,6 +6,7 @@
 use crate::fleet::{Criteria, Need};
 use crate::gateway::Gateway;
 use crate::job::Job;
+use crate::screening::Screening;
 use crate::stream_output::Output;
 use crate::stream_retries::Retries;
 use crate::target::Target;
@@ -29,6 +30,8 @@
     pub backup: Option<Backup>,
     /// Creates a new copy after the backup has failed.
     pub copier: Copier,
+    /// Observes whether an engine begins to answer the prompt.
+    pub screening: Screening,
 }
 
 impl Progress {
@@ -37,6 +40,7 @@
         Self {
             gateway: Rc::clone(gateway),
             last_event: job.metadata.last_event,
+            screening: Screening::new(gateway, &job),
             job,
             output,
             retries: Retries::default(),
