Limit the bytes of every response of targets, in number and in time

Callers of a target that sent bytes without end got no response before their deadline, or the bytes as events; the process took what came.

Cause: heads were limited by the HTTP library only, which skips informational responses without a limit; an error body of an engine was collected without a bound; a body of a plain service could take 8 MiB, its frames kept their read buffers (85 MB of memory for chunks of 4 bytes) and nothing bounded all responses together; a trickle started the silence timeout of streams anew with each frame; events without an id and ids beyond the tokens of the request were passed on.

Change: the raw connection counts the bytes and the time of each response (intake); bodies are copied out of their frames and count in a pool of 32 MiB (response_memory); the events of an attempt have limits in number, ids and time, and those without an id wait for one with an id (event_quota); the head of a server error is enough to leave an engine; a stream buffers 128 KiB for a slow caller.

--- /dev/null
+++ b/crates/gateway/src/event_quota.rs
@@ -0,0 +1,136 @@
+//! Limits on the events of an engine, in number and in time.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hawthornpost_core::clock::Instant;
+
+use crate::dialect::Metadata;
+use crate::event_stream::Event;
+use crate::intake::Excess;
+
+/// The number of events that a stream may have in addition to its tokens, such as comments.
+const EXTRA_EVENTS: u64 = 64;
+/// The assumed maximum number of tokens of a request that names none.
+const DEFAULT_TOKENS: u64 = 16 << 10;
+/// The largest maximum number of tokens that counts.
+const MAX_TOKENS: u64 = 128 << 10;
+/// The maximum time from one numbered event to the end of the next one while bytes arrive.
+const EVENT_TIMEOUT: Duration = Duration::from_millis(1500);
+/// The maximum size of the events before the first numbered one, in bytes.
+const MAX_HELD_BYTES: usize = 32 << 10;
+
+/// The events of an attempt, and what the request allows.
+#[derive(Debug)]
+pub(crate) struct Quota {
+    tokens: u64,
+    events: u64,
+    /// The id that the first numbered event follows; `None` until it is known.
+    base: Option<u64>,
+    /// The events before the first numbered one, which are not forwarded unless it arrives or the stream completes.
+    held: Vec<Event>,
+    held_bytes: usize,
+    has_numbered_event: bool,
+    timeout: Duration,
+    progress_at: Instant,
+    has_bytes_since: bool,
+}
+
+/// Returns the maximum number of tokens of a stream.
+pub(crate) fn max_tokens(metadata: &Metadata) -> u64 {
+    match metadata.output_tokens {
+        0 => DEFAULT_TOKENS,
+        tokens => tokens.min(MAX_TOKENS),
+    }
+}
+
+impl Quota {
+    /// Creates the limits of an attempt that follows the last event, with a timeout of the first numbered event.
+    pub(crate) fn new(metadata: &Metadata, last_event: Option<u64>, now: Instant, first_timeout: Duration) -> Self {
+        Self {
+            tokens: max_tokens(metadata),
+            events: 0,
+            base: last_event,
+            held: Vec::new(),
+            held_bytes: 0,
+            has_numbered_event: false,
+            timeout: first_timeout.max(EVENT_TIMEOUT),
+            progress_at: now,
+            has_bytes_since: false,
+        }
+    }
+
+    /// Records that bytes have arrived.
+    pub(crate) fn record_bytes(&mut self) {
+        self.has_bytes_since = true;
+    }
+
+    /// Records that all received events have been forwarded; time spent on a slow caller does not count.
+    pub(crate) fn record_progress(&mut self, now: Instant) {
+        self.timeout = EVENT_TIMEOUT;
+        self.progress_at = now;
+        self.has_bytes_since = false;
+    }
+
+    /// Returns the remaining time until the next numbered event.
+    pub(crate) fn time_left(&self, now: Instant) -> Duration {
+        self.timeout.saturating_sub(now.since(self.progress_at))
+    }
+
+    /// Returns whether bytes have arrived for too long without a numbered event.
+    pub(crate) fn is_overdue(&self, now: Instant) -> bool {
+        self.has_bytes_since && self.time_left(now).is_zero()
+    }
+
+    /// Counts events and returns the events that may be forwarded now.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stream has more events than the request allows.
+    pub(crate) fn admit_all(&mut self, events: impl Iterator<Item = Event>) -> Result<Vec<Event>, Excess> {
+        let mut admitted = Vec::new();
+        for event in events {
+            admitted.extend(self.admit(event)?);
+        }
+        Ok(admitted)
+    }
+
+    fn admit(&mut self, event: Event) -> Result<Vec<Event>, Excess> {
+        let limit = self.tokens + EXTRA_EVENTS;
+        self.events += 1;
+        if self.events > limit {
+            return Err(Excess::Events);
+        }
+        let Some(id) = event.id else {
+            return self.admit_unnumbered(event);
+        };
+        if id > self.base.unwrap_or(id).saturating_add(limit) {
+            return Err(Excess::Events);
+        }
+        self.base = Some(self.base.unwrap_or(id));
+        self.has_numbered_event = true;
+        let mut events = self.take_held();
+        events.push(event);
+        Ok(events)
+    }
+
+    fn admit_unnumbered(&mut self, event: Event) -> Result<Vec<Event>, Excess> {
+        if self.has_numbered_event {
+            return Ok(vec![event]);
+        }
+        self.held_bytes += event.bytes.len();
+        if self.held_bytes > MAX_HELD_BYTES {
+            return Err(Excess::Events);
+        }
+        // A copy, as the event would keep the whole read buffer in memory.
+        let bytes = Bytes::copy_from_slice(&event.bytes);
+        self.held.push(Event { bytes, ..event });
+        Ok(Vec::new())
+    }
+
+    /// Returns the events that were held back.
+    pub(crate) fn take_held(&mut self) -> Vec<Event> {
+        self.held_bytes = 0;
+        std::mem::take(&mut self.held)
+    }
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -5,7 +5,6 @@
 
 use bytes::Bytes;
 use hawthornpost_core::clock::Instant;
-use http_body_util::{BodyExt, Limited};
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
 
@@ -30,8 +29,6 @@
 /// The connect timeout for a target. The kernel retransmits a lost SYN only after a second, so another target is tried
 /// before that.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-/// The maximum size of a response body, which is buffered completely.
-const MAX_RESPONSE_BYTES: usize = 8 << 20;
 /// The maximum number of attempts at targets that do not run the request.
 const MAX_ATTEMPTS: u32 = 4;
 /// The fraction of the route's objective after which an idempotent request is retried at another target.
@@ -186,9 +183,12 @@
         let exchange = self.exchange(&mut connection, target, time_left);
         match self.gateway.timer().timeout(limit, exchange).await {
             Some(Ok((head, body))) => self.classify(target, head, body),
-            Some(Err(reason)) => {
+            Some(Err(failure)) => {
                 self.record_outcome(target, true);
-                Outcome::Unknown(reason)
+                if let Failure::Excess { excess, .. } = failure {
+                    excess.report(self.gateway, target);
+                }
+                Outcome::Unknown(failure.to_string())
             }
             None => {
                 self.record_outcome(target, true);
@@ -209,7 +209,7 @@
         connection: &mut Connection,
         target: &Target,
         time_left: Duration,
-    ) -> Result<(Parts, Bytes), String> {
+    ) -> Result<(Parts, Bytes), Failure> {
         let dispatch = Dispatch {
             instance: &target.id,
             time_left,
@@ -220,14 +220,10 @@
             last_event: None,
         };
         let request = self.job.request(self.gateway, &dispatch);
-        let response = connection
-            .send(request)
-            .await
-            .map_err(|error: Failure| error.to_string())?;
-        let (head, body) = response.into_parts();
-        let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
-        let body = body.map_err(|error| format!("the response is incomplete: {error}"))?;
-        Ok((head, body.to_bytes()))
+        let (head, body) = connection.send(request).await?.into_parts();
+        let mut share = self.gateway.response_memory().share();
+        let body = connection.read(body, |bytes| share.grow_to(bytes)).await?;
+        Ok((head, share.hold(body)))
     }
 
     fn classify(&self, target: &Rc<Target>, head: Parts, body: Bytes) -> Outcome {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use hawthornpost_core::clock::Instant;
@@ -16,6 +17,7 @@
 use crate::fleet::Fleet;
 use crate::load::Load;
 use crate::peers::Peers;
+use crate::response_memory::Pool;
 use crate::rollout::Order;
 use crate::rollouts::Rollouts;
 use crate::route::Table;
@@ -47,6 +49,7 @@
     phase: watch::Sender<Phase>,
     open_requests: Cell<usize>,
     body_bytes: Cell<usize>,
+    response_memory: Arc<Pool>,
 }
 
 /// The lifecycle phase of the process.
@@ -101,6 +104,7 @@
             phase: watch::Sender::new(Phase::Running),
             open_requests: Cell::default(),
             body_bytes: Cell::default(),
+            response_memory: Arc::default(),
             limits: Cell::new(settings.limits),
             settings,
         })
@@ -329,6 +333,11 @@
         })
     }
 
+    /// Returns the memory of buffered responses.
+    pub fn response_memory(&self) -> &Arc<Pool> {
+        &self.response_memory
+    }
+
     /// Marks a target as suspected and reports it to the other hosts.
     pub(crate) fn suspect(&self, target: &Target, reason: &str) {
         let was_usable = self.fleet.borrow().is_usable(self.now(), &target.id);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`feed`] | choice of the hosts that watch the store, and their updates to peers |
 //! | [`fleet`] | targets with their load and health, and the choice among them |
 //! | [`gateway`] | shared state of a process |
+//! | [`intake`] | limits on the bytes of a response |
 //! | [`load`] | load of a target |
 //! | [`load_report`] | incremental load reports to peers |
 //! | [`log_limit`] | rate limit of log lines |
@@ -22,6 +23,7 @@
 //! | [`outbound`] | client connections to targets, the store and peers |
 //! | [`peers`] | other entry hosts and the reports exchanged with them |
 //! | [`platform`] | the platform's store |
+//! | [`response_memory`] | memory of buffered responses |
 //! | [`rollout`] | orders that move a service to another version |
 //! | [`rollouts`] | rollout orders known to a host, with their trials |
 //! | [`route`] | routing table: route and account of a request |
@@ -43,6 +45,7 @@
 mod duration;
 mod error;
 pub mod event;
+mod event_quota;
 pub mod event_stream;
 mod exchange;
 pub mod feed;
@@ -51,6 +54,7 @@
 mod head_guard;
 mod headers;
 mod ingress;
+pub mod intake;
 mod job;
 mod listener;
 pub mod load;
@@ -67,6 +71,7 @@
 mod registry;
 mod reply;
 mod response;
+pub mod response_memory;
 pub mod rollout;
 pub mod rollouts;
 mod rollouts_runner;
--- a/crates/gateway/src/outbound.rs
+++ b/crates/gateway/src/outbound.rs
@@ -2,11 +2,12 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -14,6 +15,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use crate::intake::{Excess, Limits, Meter, Stream};
+
 /// The size of a connection's read buffer; response heads have to fit into it.
 const READ_BUFFER_BYTES: usize = 16 << 10;
 
@@ -36,6 +39,14 @@
         /// The error.
         reason: String,
     },
+    /// The response exceeds its limits.
+    #[error("response of {address} was cut off: {excess}; the outcome is unknown")]
+    Excess {
+        /// The address.
+        address: SocketAddr,
+        /// The limit.
+        excess: Excess,
+    },
     /// The timeout elapsed after the request may have been sent.
     #[error("request to {address} timed out; the outcome is unknown")]
     Timeout {
@@ -56,6 +67,7 @@
 pub struct Connection {
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
+    meter: Rc<Meter>,
     driver: JoinHandle<()>,
 }
 
@@ -72,6 +84,7 @@
             .map_err(|_elapsed| failed(format!("no response within {connect_timeout:?}")))?
             .map_err(|error| failed(error.to_string()))?;
         stream.set_nodelay(true).map_err(|error| failed(error.to_string()))?;
+        let (stream, meter) = Stream::new(stream);
         let handshake = http1::Builder::new()
             .read_buf_exact_size(Some(READ_BUFFER_BYTES))
             .handshake(TokioIo::new(stream))
@@ -85,6 +98,7 @@
         Ok(Self {
             address,
             sender,
+            meter,
             driver,
         })
     }
@@ -94,38 +108,81 @@
         self.sender.is_ready()
     }
 
+    /// Sets the limits of responses, which are those of plain services initially.
+    pub fn set_limits(&self, limits: Limits) {
+        self.meter.set_limits(limits);
+    }
+
     /// Sends a request and waits for the head of the response.
     ///
     /// # Errors
     ///
-    /// Fails with [`Failure::Broken`] when the connection fails before that.
+    /// Fails with [`Failure::Broken`] when the connection fails before that, and with [`Failure::Excess`] when the response
+    /// exceeds its limits or announces a body that does.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Failure> {
-        let address = self.address;
+        self.meter.start();
         let response = self.sender.send_request(request).await;
-        response.map_err(|error| Failure::Broken {
-            address,
-            reason: format_chain(&error),
-        })
+        self.meter.finish_head();
+        let response = response.map_err(|error| self.failure(&error))?;
+        if response.body().size_hint().lower() > self.meter.limits().bytes as u64 {
+            return Err(self.excess(Excess::Bytes));
+        }
+        Ok(response)
+    }
+
+    /// Reads a body; `admit` checks the number of buffered bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`Failure::Broken`] when the connection fails, and with [`Failure::Excess`] when the response exceeds its
+    /// limits.
+    pub async fn read(
+        &self,
+        mut body: Incoming,
+        mut admit: impl FnMut(usize) -> Result<(), Excess>,
+    ) -> Result<Bytes, Failure> {
+        // The frames are copied: each keeps a read buffer in memory, and a frame may be as small as a byte.
+        let mut bytes = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| self.failure(&error))?;
+            bytes.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new()));
+            admit(bytes.capacity()).map_err(|excess| self.excess(excess))?;
+        }
+        Ok(bytes.freeze())
+    }
+
+    fn failure(&self, error: &hyper::Error) -> Failure {
+        if let Some(excess) = Excess::of(error) {
+            return self.excess(excess);
+        }
+        Failure::Broken {
+            address: self.address,
+            reason: format_chain(error),
+        }
     }
 
-    /// Sends a request and reads the complete response, whose body may have at most `max_bytes`.
+    fn excess(&self, excess: Excess) -> Failure {
+        Failure::Excess {
+            address: self.address,
+            excess,
+        }
+    }
+
+    /// Sends a request and reads the complete response, which may have at most `max_bytes`.
     ///
     /// # Errors
     ///
-    /// Fails with [`Failure::Broken`] when the connection fails or the body is too large.
+    /// Fails with [`Failure::Broken`] when the connection fails, and with [`Failure::Excess`] when the response is too large.
     pub async fn exchange(
         &mut self,
         request: Request<Full<Bytes>>,
         max_bytes: usize,
     ) -> Result<(StatusCode, Bytes), Failure> {
+        self.set_limits(Limits::size(max_bytes));
         let response = self.send(request).await?;
         let status = response.status();
-        let body = Limited::new(response.into_body(), max_bytes).collect().await;
-        let body = body.map_err(|error| Failure::Broken {
-            address: self.address,
-            reason: error.to_string(),
-        })?;
-        Ok((status, body.to_bytes()))
+        let body = self.read(response.into_body(), |_bytes| Ok(())).await?;
+        Ok((status, body))
     }
 }
 
--- a/crates/gateway/src/stall.rs
+++ b/crates/gateway/src/stall.rs
@@ -75,6 +75,11 @@
         }
     }
 
+    /// Returns the maximum time without data.
+    pub(crate) fn timeout(self) -> Duration {
+        self.timeout
+    }
+
     /// Waits for the next data of an engine, at most for the remaining time of the request.
     pub(crate) async fn watch<T>(
         self,
--- a/crates/gateway/src/stream_attempt.rs
+++ b/crates/gateway/src/stream_attempt.rs
@@ -3,21 +3,25 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use hawthornpost_core::clock::Instant;
 use http_body_util::BodyExt;
 use hyper::Response;
-use hyper::body::Incoming;
+use hyper::body::{Frame, Incoming};
 use hyper::header::HeaderMap;
+use hyper::http::response::Parts;
 
 use crate::backup::Backup;
 use crate::body::Body;
 use crate::dialect::{Dispatch, Source};
-use crate::event_stream::Splitter;
+use crate::event_quota::{self, Quota};
+use crate::event_stream::{Event, Splitter};
 use crate::exchange::implies_not_run;
 use crate::gateway::{Gateway, Reservation};
 use crate::headers;
+use crate::intake::{Excess, Limits};
 use crate::load::Load;
-use crate::outbound::{self, Connection};
+use crate::outbound::{self, Connection, Failure};
 use crate::reply::{self, Verdict};
 use crate::stall::{Stall, Watchdog};
 use crate::stream_progress::Progress;
@@ -27,7 +31,7 @@
 /// The connect timeout for an engine.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// The maximum size of an event.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+const MAX_EVENT_BYTES: usize = 64 << 10;
 
 /// How an attempt ended.
 pub(crate) enum Outcome {
@@ -87,6 +91,7 @@
             last_event: stream.last_event,
         };
         let request = stream.job.request(&stream.gateway, &dispatch);
+        connection.set_limits(Limits::stream(event_quota::max_tokens(&stream.job.metadata)));
         let watchdog = Watchdog::for_first_event(stream.gateway.fleet().borrow().prefill_tokens(&target.id));
         let sent = stream.gateway.now();
         let response = match watchdog
@@ -99,6 +104,7 @@
             .await
         {
             Ok(Ok(response)) => response,
+            Ok(Err(Failure::Excess { excess, .. })) => return self.cut_off(stream, excess, sent),
             Ok(Err(error)) => {
                 stream.gateway.suspect(target, "the connection failed");
                 return broken(stream, error.to_string(), sent);
@@ -121,7 +127,7 @@
             }
         }
         if !head.status.is_success() {
-            return handle_other(stream, head, body).await;
+            return self.handle_other(stream, &connection, head, body).await;
         }
         self.forward(stream, &mut reservation, head.headers, body, sent, backup)
             .await
@@ -143,49 +149,34 @@
         let mut has_event = false;
         let first_watchdog = Watchdog::for_first_event(stream.gateway.fleet().borrow().prefill_tokens(&target.id));
         let need = stream.need();
+        let (metadata, last_event) = (&stream.job.metadata, stream.last_event);
+        let mut quota = Quota::new(metadata, last_event, stream.gateway.now(), first_watchdog.timeout());
         loop {
             let watchdog = if has_event {
                 Watchdog::between_events(stream.backup.is_some())
             } else {
                 first_watchdog
             };
-            let frame = match watchdog
-                .watch(
-                    &stream.gateway,
-                    target,
-                    stream.job.time_left(&stream.gateway),
-                    body.frame(),
-                )
-                .await
-            {
-                Ok(Some(Ok(frame))) => frame,
-                Ok(None) if !splitter.has_incomplete_event() && has_event => return Outcome::Completed,
-                Ok(None) => {
-                    return broken(
-                        stream,
-                        "the stream ended before its first event or within an event".to_owned(),
-                        sent,
-                    );
-                }
-                Ok(Some(Err(error))) => {
-                    stream
-                        .gateway
-                        .suspect(target, "the connection failed during the stream");
-                    return broken(stream, outbound::format_chain(&error), sent);
-                }
-                Err(stall) => {
-                    record_stall(&stream.gateway, target, stall);
-                    return stalled(stream, stall, sent);
+            let (events, is_end) = match self.next_frame(stream, &quota, watchdog, &mut body, sent).await {
+                Ok(Some(frame)) => {
+                    let Ok(bytes) = frame.into_data() else {
+                        continue;
+                    };
+                    quota.record_bytes();
+                    splitter.push(&bytes);
+                    if splitter.len() > MAX_EVENT_BYTES {
+                        return self.cut_off(stream, Excess::Event, sent);
+                    }
+                    match quota.admit_all(splitter.by_ref()) {
+                        Ok(events) => (events, false),
+                        Err(excess) => return self.cut_off(stream, excess, sent),
+                    }
                 }
+                Ok(None) if splitter.has_incomplete_event() => return truncated(stream, sent),
+                Ok(None) => (quota.take_held(), true),
+                Err(outcome) => return outcome,
             };
-            let Ok(bytes) = frame.into_data() else {
-                continue;
-            };
-            splitter.push(&bytes);
-            if splitter.len() > MAX_EVENT_BYTES {
-                return broken(stream, "an event is too large".to_owned(), sent);
-            }
-            let events = splitter.by_ref().collect::<Vec<_>>();
+            let has_progress = events.iter().any(|event| event.id.is_some());
             for event in events {
                 if !has_event {
                     has_event = true;
@@ -204,10 +195,92 @@
                 stream.last_event = event.id.or(stream.last_event);
                 stream.maintain_backup(target);
                 let now = stream.gateway.now();
-                if !stream.output.forward(now, &mut headers, event.bytes).await {
+                let Ok(bytes) = hold(&stream.gateway, event) else {
+                    return broken(stream, Excess::Memory.to_string(), sent);
+                };
+                if !stream.output.forward(now, &mut headers, bytes).await {
                     return Outcome::Completed;
                 }
             }
+            if has_progress {
+                quota.record_progress(stream.gateway.now());
+            }
+            if is_end {
+                return if has_event {
+                    Outcome::Completed
+                } else {
+                    truncated(stream, sent)
+                };
+            }
+        }
+    }
+
+    /// Waits for the next frame of the engine; returns `None` at the end of the stream.
+    async fn next_frame(
+        &self,
+        stream: &Progress,
+        quota: &Quota,
+        watchdog: Watchdog,
+        body: &mut Incoming,
+        sent: Instant,
+    ) -> Result<Option<Frame<Bytes>>, Outcome> {
+        let (gateway, target) = (&stream.gateway, &self.target);
+        let time_left = stream.job.time_left(gateway).min(quota.time_left(gateway.now()));
+        let error = match watchdog.watch(gateway, target, time_left, body.frame()).await {
+            Ok(Some(Ok(frame))) => return Ok(Some(frame)),
+            Ok(Some(Err(error))) => error,
+            Ok(None) => return Ok(None),
+            Err(Stall::Slow) if quota.is_overdue(gateway.now()) => {
+                return Err(self.cut_off(stream, Excess::Time, sent));
+            }
+            Err(stall) => {
+                record_stall(gateway, target, stall);
+                return Err(stalled(stream, stall, sent));
+            }
+        };
+        if let Some(excess) = Excess::of(&error) {
+            return Err(self.cut_off(stream, excess, sent));
+        }
+        gateway.suspect(target, "the connection failed during the stream");
+        Err(broken(stream, outbound::format_chain(&error), sent))
+    }
+
+    /// Ends an attempt whose response exceeds a limit.
+    fn cut_off(&self, stream: &Progress, excess: Excess, sent: Instant) -> Outcome {
+        excess.report(&stream.gateway, &self.target);
+        broken(stream, excess.to_string(), sent)
+    }
+
+    /// Handles a response without a stream: errors of the engine are retried, anything else is passed on to the caller.
+    async fn handle_other(
+        &self,
+        stream: &Progress,
+        connection: &Connection,
+        mut head: Parts,
+        body: Incoming,
+    ) -> Outcome {
+        let sent = stream.gateway.now();
+        if head.status.is_server_error() || implies_not_run(head.status) {
+            let reason = format!("the engine responded with status {}", head.status.as_u16());
+            return broken(stream, reason, sent);
+        }
+        connection.set_limits(Limits::RESPONSE);
+        let mut share = stream.gateway.response_memory().share();
+        let body = connection.read(body, |bytes| share.grow_to(bytes));
+        let time_left = stream.job.time_left(&stream.gateway);
+        match stream.gateway.timer().timeout(time_left, body).await {
+            Some(Ok(body)) => {
+                headers::strip_hop_by_hop(&mut head.headers);
+                let mut response = Response::new(Body::full(share.hold(body)));
+                *response.status_mut() = head.status;
+                *response.headers_mut() = head.headers;
+                Outcome::Other(response)
+            }
+            Some(Err(Failure::Excess { excess, .. })) => self.cut_off(stream, excess, sent),
+            Some(Err(_)) | None => {
+                let reason = "the error response of the engine is incomplete".to_owned();
+                broken(stream, reason, sent)
+            }
         }
     }
 
@@ -239,33 +312,16 @@
     }
 }
 
-/// Handles a response without a stream: errors of the engine are retried, anything else is passed on to the caller.
-async fn handle_other(stream: &Progress, mut head: hyper::http::response::Parts, body: Incoming) -> Outcome {
-    let sent = stream.gateway.now();
-    let collected = stream
-        .gateway
-        .timer()
-        .timeout(stream.job.time_left(&stream.gateway), body.collect())
-        .await;
-    let Some(Ok(body)) = collected else {
-        return broken(
-            stream,
-            "the error response of the engine is incomplete".to_owned(),
-            sent,
-        );
-    };
-    if head.status.is_server_error() || implies_not_run(head.status) {
-        return broken(
-            stream,
-            format!("the engine responded with status {}", head.status.as_u16()),
-            sent,
-        );
-    }
-    headers::strip_hop_by_hop(&mut head.headers);
-    let mut response = Response::new(Body::full(body.to_bytes()));
-    *response.status_mut() = head.status;
-    *response.headers_mut() = head.headers;
-    Outcome::Other(response)
+fn truncated(stream: &Progress, since: Instant) -> Outcome {
+    let reason = "the stream ended before its first event or within an event";
+    broken(stream, reason.to_owned(), since)
+}
+
+/// Counts an event as buffered until it has been written to the caller.
+fn hold(gateway: &Gateway, event: Event) -> Result<Bytes, Excess> {
+    let mut share = gateway.response_memory().share();
+    share.grow_to(event.bytes.len())?;
+    Ok(share.hold(event.bytes))
 }
 
 /// Records a stall. An engine whose host responds may only be slow, which says nothing about other engines, so only its
--- a/crates/gateway/src/stream_output.rs
+++ b/crates/gateway/src/stream_output.rs
@@ -1,24 +1,29 @@
 //! Output of a stream to its caller.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use hawthornpost_core::clock::Instant;
 use hyper::header::HeaderMap;
 use hyper::{Response, StatusCode};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
 
 use crate::body::{Body, Part, Task};
 use crate::response;
 
 /// The maximum number of buffered parts for a slow reader; beyond it, backpressure slows the engine down.
 pub const MAX_BUFFERED_PARTS: usize = 256;
+/// The maximum size of the buffered parts in bytes.
+pub const MAX_BUFFERED_BYTES: u32 = 128 << 10;
 
 /// Sends the events of a stream to its caller.
 #[derive(Debug)]
 pub struct Output {
     head: Option<oneshot::Sender<Head>>,
     parts: mpsc::Sender<Part>,
+    /// A permit for each byte that may be buffered.
+    space: Arc<Semaphore>,
     /// The number of forwarded events.
     pub events: u64,
     /// When the first event was forwarded.
@@ -36,6 +41,12 @@
     parts: mpsc::Receiver<Part>,
 }
 
+/// The bytes of a part, which take space until they have been written to the caller.
+struct Buffered {
+    bytes: Bytes,
+    _space: OwnedSemaphorePermit,
+}
+
 /// The head of the response to a caller.
 #[derive(Debug)]
 enum Head {
@@ -53,6 +64,7 @@
         let output = Self {
             head: Some(head_sender),
             parts: parts_sender,
+            space: Arc::new(Semaphore::new(MAX_BUFFERED_BYTES as usize)),
             events: 0,
             first_at: None,
             last_at: Instant::ZERO,
@@ -78,6 +90,12 @@
         }
         self.last_at = now;
         self.events += 1;
+        let size = u32::try_from(bytes.len()).unwrap_or(u32::MAX);
+        let space = Arc::clone(&self.space).acquire_many_owned(size.min(MAX_BUFFERED_BYTES));
+        let Ok(space) = space.await else {
+            return false;
+        };
+        let bytes = Bytes::from_owner(Buffered { bytes, _space: space });
         self.parts.send(Part::Bytes(bytes)).await.is_ok()
     }
 
@@ -96,6 +114,12 @@
     }
 }
 
+impl AsRef<[u8]> for Buffered {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 impl Input {
     /// Waits for the head of the response; dropping the response body aborts the task.
     pub async fn response(self, task: Task) -> Response<Body> {
