--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`feed`] | choice of the hosts that watch the store, and their updates to peers |
 //! | [`fleet`] | targets with their load and health, and the choice among them |
 //! | [`gateway`] | shared state of a process |
+//! | [`intake`] | limits on the bytes of a response |
 //! | [`load`] | load of a target |
 //! | [`load_report`] | incremental load reports to peers |
 //! | [`log_limit`] | rate limit of log lines |
@@ -25,6 +26,7 @@
 //! | [`prompt`] | parts of a prompt |
 //! | [`quarantine`] | parts of prompts that crash engines |
 //! | [`reachability`] | distinguishes unreachable engines from trouble of this host's link |
+//! | [`response_memory`] | memory of buffered responses |
 //! | [`rollout`] | orders that move a service to another version |
 //! | [`rollouts`] | rollout orders known to a host, with their trials |
 //! | [`route`] | routing table: route and account of a request |
@@ -49,6 +51,7 @@
 mod duration;
 mod error;
 pub mod event;
+mod event_quota;
 pub mod event_stream;
 mod exchange;
 pub mod feed;
@@ -58,6 +61,7 @@
 mod headers;
 mod idle_timer;
 mod ingress;
+pub mod intake;
 mod job;
 mod listener;
 pub mod load;
@@ -79,6 +83,7 @@
 mod registry;
 mod reply;
 mod response;
+pub mod response_memory;
 pub mod rollout;
 pub mod rollouts;
 mod rollouts_runner;
