Bound the memory of request bodies in small chunks

A caller that sent chunks of one byte without end was refused at the limit of bodies (100 KB), but took 3,788 KiB of memory until then.

Cause: each frame kept its read buffer, and a body in chunks counted as 16 KiB whatever its size.

Change: frames are copied, and the reservation grows with the body.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -322,15 +322,11 @@
 
     /// Reserves memory for a request body; returns `None` if the process would buffer too many bytes.
     pub fn reserve_body(self: &Rc<Self>, bytes: usize) -> Option<BodyBytes> {
-        let total = self.body_bytes.get() + bytes;
-        if total > self.limits.get().request_bytes {
-            return None;
-        }
-        self.body_bytes.set(total);
-        Some(BodyBytes {
+        let mut reserved = BodyBytes {
             gateway: Rc::clone(self),
-            bytes,
-        })
+            bytes: 0,
+        };
+        reserved.grow_to(bytes).then_some(reserved)
     }
 
     /// Returns the memory of buffered responses.
@@ -437,6 +433,21 @@
     }
 }
 
+impl BodyBytes {
+    /// Grows to a number of bytes; returns whether the process may buffer that many.
+    #[must_use = "bytes without a reservation must not be buffered"]
+    pub fn grow_to(&mut self, bytes: usize) -> bool {
+        let added = bytes.saturating_sub(self.bytes);
+        let total = self.gateway.body_bytes.get() + added;
+        if added > 0 && total > self.gateway.limits.get().request_bytes {
+            return false;
+        }
+        self.gateway.body_bytes.set(total);
+        self.bytes += added;
+        true
+    }
+}
+
 impl Drop for BodyBytes {
     fn drop(&mut self) {
         self.gateway.body_bytes.set(self.gateway.body_bytes.get() - self.bytes);
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -3,8 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
@@ -15,7 +15,7 @@
 use crate::dialect::Metadata;
 use crate::duration::shorter;
 use crate::event::Event;
-use crate::gateway::{Gateway, Phase};
+use crate::gateway::{BodyBytes, Gateway, Phase};
 use crate::head_guard::Framing;
 use crate::job::Job;
 use crate::response;
@@ -68,6 +68,14 @@
         }
     }
 
+    /// Creates the rejection of a body for which there is no memory.
+    fn memory() -> Self {
+        Self {
+            closes_connection: true,
+            ..Self::unavailable("too many request bodies are being read; try again", MEMORY_RETRY_AFTER)
+        }
+    }
+
     fn into_response(self) -> Response<Body> {
         let mut response = match self.retry_after {
             Some(delay) => response::refusal(self.message, delay),
@@ -152,11 +160,15 @@
     let timeout = shorter(route.timeout, Some(metadata.deadline.unwrap_or(DEFAULT_TIMEOUT)));
     let expected = expected_length(&head, limit)?;
     let bytes = gateway.reserve_body(expected);
-    let bytes = bytes.ok_or_else(|| Rejection {
-        closes_connection: true,
-        ..Rejection::unavailable("too many request bodies are being read; try again", MEMORY_RETRY_AFTER)
-    })?;
-    let body = read_body(gateway, body, limit, timeout).await?;
+    let mut bytes = bytes.ok_or_else(Rejection::memory)?;
+    let read = read_body(body, limit, &mut bytes);
+    let body = gateway.timer().timeout(timeout, read).await;
+    let body = body.ok_or_else(|| {
+        Rejection::closing(
+            StatusCode::REQUEST_TIMEOUT,
+            "the body did not arrive in time; send it faster",
+        )
+    })??;
     let service = pick_service(&route, rand::random()).map(str::to_owned);
     let service = service.ok_or_else(|| {
         Rejection::unavailable(
@@ -249,26 +261,25 @@
 /// The bytes reserved for a body without Content-Length.
 const CHUNKED_BODY_BYTES: usize = 16 << 10;
 
-async fn read_body(gateway: &Gateway, body: Incoming, limit: usize, timeout: Duration) -> Result<Bytes, Rejection> {
-    let collected = gateway
-        .timer()
-        .timeout(timeout, Limited::new(body, limit).collect())
-        .await;
-    match collected {
-        Some(Ok(collected)) => Ok(collected.to_bytes()),
-        Some(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(Rejection::closing(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "the body is too large; send a shorter one",
-        )),
-        Some(Err(_)) => Err(Rejection::closing(
-            StatusCode::BAD_REQUEST,
-            "the body cannot be read; check its framing",
-        )),
-        None => Err(Rejection::closing(
-            StatusCode::REQUEST_TIMEOUT,
-            "the body did not arrive in time; send it faster",
-        )),
+async fn read_body(mut body: Incoming, limit: usize, reserved: &mut BodyBytes) -> Result<Bytes, Rejection> {
+    // The frames are copied: each keeps a read buffer in memory, and a frame may be as small as a byte.
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_error| {
+            Rejection::closing(StatusCode::BAD_REQUEST, "the body cannot be read; check its framing")
+        })?;
+        bytes.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new()));
+        if bytes.len() > limit {
+            return Err(Rejection::closing(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "the body is too large; send a shorter one",
+            ));
+        }
+        if !reserved.grow_to(bytes.len()) {
+            return Err(Rejection::memory());
+        }
     }
+    Ok(bytes.freeze())
 }
 
 /// Removes hop-by-hop headers, reserved headers and the key of the client.
