Apply the header timeout of the configuration to request heads

A caller that sent a head byte by byte kept its connection until the idle timeout: header-timeout-ms was decoded and never used.

Change: bytes of a head that arrive later than the header timeout after its first byte close the connection. A caller that falls silent within a head is still closed by the idle timeout.

Before: "15.001430403s" in a_caller_without_end_is_cut_off (trickled head). After: 3.02 s with a timeout of 3 s.

--- a/crates/gateway/src/head_guard.rs
+++ b/crates/gateway/src/head_guard.rs
@@ -1,4 +1,5 @@
-//! Inspects the raw heads of requests for ambiguous framing before the HTTP library parses them.
+//! Inspects the raw heads of requests for ambiguous framing before the HTTP library parses them, and limits the time in
+//! which they arrive.
 //!
 //! The library removes a Content-Length header next to Transfer-Encoding. This ambiguity, which allows request smuggling
 //! past another HTTP parser, is therefore visible only in the raw bytes.
@@ -8,6 +9,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -21,6 +23,8 @@
 pub(crate) struct Head {
     bytes: RefCell<Vec<u8>>,
     framing: Cell<Option<Framing>>,
+    /// When the first byte of the head arrived.
+    first_at: Cell<Option<Instant>>,
 }
 
 /// How a request head delimits its body.
@@ -35,8 +39,9 @@
 /// A connection whose request heads are inspected.
 #[derive(Debug)]
 pub(crate) struct Stream {
-    stream: TcpStream,
+    inner: TcpStream,
     head: Rc<Head>,
+    timeout: Duration,
 }
 
 impl Head {
@@ -48,13 +53,21 @@
     /// Resets the state for the head of the next request.
     pub(crate) fn reset(&self) {
         self.framing.set(None);
+        self.first_at.set(None);
         self.bytes.borrow_mut().clear();
     }
 
+    /// Returns whether the head is incomplete and its first byte arrived longer ago than the timeout.
+    fn is_overdue(&self, timeout: Duration) -> bool {
+        let first_at = self.first_at.get();
+        self.framing.get().is_none() && first_at.is_some_and(|first_at| first_at.elapsed() > timeout)
+    }
+
     fn inspect(&self, bytes: &[u8]) {
         if self.framing.get().is_some() {
             return;
         }
+        self.first_at.set(self.first_at.get().or_else(|| Some(Instant::now())));
         let mut head = self.bytes.borrow_mut();
         let from = head.len().saturating_sub(HEAD_END.len());
         let room = MAX_HEAD_BYTES - head.len();
@@ -86,12 +99,13 @@
 }
 
 impl Stream {
-    /// Wraps a connection; returns the shared state of its request heads as well.
-    pub(crate) fn new(stream: TcpStream) -> (Self, Rc<Head>) {
+    /// Wraps a connection with a timeout of heads; returns the shared state of its request heads as well.
+    pub(crate) fn new(stream: TcpStream, timeout: Duration) -> (Self, Rc<Head>) {
         let head = Rc::<Head>::default();
         let stream = Self {
-            stream,
+            inner: stream,
             head: Rc::clone(&head),
+            timeout,
         };
         (stream, head)
     }
@@ -100,9 +114,16 @@
 impl AsyncRead for Stream {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let result = Pin::new(&mut self.inner).poll_read(cx, buf);
         if matches!(result, Poll::Ready(Ok(()))) {
-            self.head.inspect(&buf.filled()[before..]);
+            let bytes = &buf.filled()[before..];
+            self.head.inspect(bytes);
+            if !bytes.is_empty() && self.head.is_overdue(self.timeout) {
+                return Poll::Ready(Err(io::Error::new(
+                    io::ErrorKind::TimedOut,
+                    "the head arrives too slowly",
+                )));
+            }
         }
         result
     }
@@ -110,7 +131,7 @@
 
 impl AsyncWrite for Stream {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        Pin::new(&mut self.inner).poll_write(cx, buf)
     }
 
     fn poll_write_vectored(
@@ -118,18 +139,18 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.inner.is_write_vectored()
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        Pin::new(&mut self.inner).poll_flush(cx)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        Pin::new(&mut self.inner).poll_shutdown(cx)
     }
 }
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -73,7 +73,7 @@
     }
     let limits = gateway.table().limits();
     let handler = Rc::clone(&gateway);
-    let (stream, head) = Stream::new(stream);
+    let (stream, head) = Stream::new(stream, limits.header_timeout);
     let service = service_fn(move |request| {
         let (gateway, head) = (Rc::clone(&handler), Rc::clone(&head));
         async move {
