Count slow answers of a version on trial while they are open

Callers saw a new version of model engines that answered several times slower and was kept.

Cause: a slow answer counted when its first event came or the stream was given up, a fast one at once; the interval between events counted at the end of a stream. Each host compared with its own old answers, of which it saw fewer than needed among many hosts, and its part of the exposure, below one request, was rounded down to none. The limit of three times the mean was above what a version three times slower takes. The slack of the exposure went to a tenth of the targets, which had more load than those of the old version.

Change: waits are part of a trial and count as slow as soon as they are too late; the interval counts after 32 intervals; hosts share the sums of the old version's latencies; responses and intervals are compared apart; slow is twice the mean; parts of the exposure are rounded at random; the targets follow the share of the exposure.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -96,7 +96,7 @@
             is_store_unreachable: Cell::default(),
             replaced: RefCell::default(),
             budget: RefCell::new(Budget::new(settings.limits.retries)),
-            rollouts: RefCell::new(Rollouts::new(settings.rollouts)),
+            rollouts: RefCell::new(Rollouts::new(settings.rollouts, rand::random())),
             peers: Peers::new(&settings),
             phase: watch::Sender::new(Phase::Running),
             open_requests: Cell::default(),
@@ -250,6 +250,12 @@
         rollouts.record_outcome(&target.service, route, &target.version, outcome);
     }
 
+    /// Records the latency of a request that its trial has counted already.
+    pub(crate) fn record_baseline(&self, route: &str, target: &Target, outcome: Outcome) {
+        let mut rollouts = self.rollouts.borrow_mut();
+        rollouts.record_baseline(&target.service, route, &target.version, outcome);
+    }
+
     /// Counts a request for a service, which adds to its retry budget.
     pub(crate) fn record_request(&self, service: &str) {
         self.budget.borrow_mut().record_request(self.now(), service);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //!
 //! | module | concern |
 //! |--------|---------|
+//! | [`baseline`] | usual latency of a version |
 //! | [`body`] | response bodies |
 //! | [`budget`] | retry budget, which all entry hosts share |
 //! | [`config`] | a version of the configuration |
@@ -33,6 +34,7 @@
 //! | [`versions`] | versions that may serve a request |
 
 mod backup;
+pub mod baseline;
 pub mod body;
 pub mod budget;
 mod call;
@@ -82,6 +84,7 @@
 mod sync;
 pub mod target;
 pub mod trial;
+mod trial_wait;
 pub mod versions;
 
 pub use error::{Error, Result};
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -4,11 +4,14 @@
 use std::time::Duration;
 
 use hawthornpost_core::clock::Instant;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
 
 use crate::duration::millis;
 use crate::event::Event;
 use crate::rollout::{Order, State};
-use crate::trial::{Exposure, Observation, Outcome, Trial};
+use crate::target::Target;
+use crate::trial::{Exposure, Latency, Observation, Outcome, Trial};
 use crate::versions::Versions;
 
 /// How long hosts announce a verdict. After this time peers can read it from the store.
@@ -19,14 +22,18 @@
 pub struct Rollouts {
     exposure: Exposure,
     trials: BTreeMap<String, (Trial, Option<Instant>)>,
+    next_wait: u64,
+    random: SmallRng,
 }
 
 impl Rollouts {
-    /// Creates an empty table.
-    pub fn new(exposure: Exposure) -> Self {
+    /// Creates an empty table with the seed for random choices.
+    pub fn new(exposure: Exposure, seed: u64) -> Self {
         Self {
             exposure,
             trials: BTreeMap::new(),
+            next_wait: 0,
+            random: SmallRng::seed_from_u64(seed),
         }
     }
 
@@ -49,8 +56,8 @@
         }
         .log();
         let service = order.service.clone();
-        self.trials
-            .insert(service, (Trial::new(order, now, initial_versions), None));
+        let trial = Trial::new(order, now, initial_versions).with_rounding(self.random.random());
+        self.trials.insert(service, (trial, None));
     }
 
     /// Removes the order of a service.
@@ -100,6 +107,28 @@
         }
     }
 
+    /// Adds the latency of a request that is counted already to the baseline.
+    pub fn record_baseline(&mut self, service: &str, route: &str, version: &str, outcome: Outcome) {
+        if let Some((trial, _)) = self.trials.get_mut(service) {
+            trial.record_baseline(route, version, outcome);
+        }
+    }
+
+    /// Starts to wait for the latency of a request at a target. Returns the id of the wait if there is a trial.
+    pub fn start_wait(&mut self, now: Instant, route: &str, target: &Target, latency: Latency) -> Option<u64> {
+        let (trial, _) = self.trials.get_mut(&target.service)?;
+        let id = self.next_wait;
+        self.next_wait += 1;
+        trial.start_wait(id, now, route, &target.version, latency);
+        Some(id)
+    }
+
+    /// Ends a wait and returns whether the request is counted already.
+    pub fn end_wait(&mut self, service: &str, id: u64) -> bool {
+        let trial = self.trials.get_mut(service);
+        trial.is_some_and(|(trial, _)| trial.end_wait(id))
+    }
+
     /// Merges the state and the counts of a peer, and adds the order if this host does not know it.
     pub fn merge_peer(
         &mut self,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -97,6 +97,7 @@
                 Outcome::Completed => return self.finish(target).await,
                 Outcome::Other(response) => return self.respond(response),
                 Outcome::NotRun(reason) => {
+                    self.stream.wait = None;
                     self.log_failure(target, &reason, "no", took_ms);
                     if attempt.backup.is_none() {
                         self.stream.excluded.push(target.id.clone());
@@ -191,15 +192,6 @@
         fleet.choose_stream(now, criteria, self.stream.need())
     }
 
-    /// Records the mean interval between the events of a stream that a single engine completed, for the trial of its version.
-    fn record_event_interval(&self, target: &Target, first: Instant) {
-        let intervals = u32::try_from(self.stream.output.events.saturating_sub(1)).unwrap_or(u32::MAX);
-        if intervals > 0 && self.failed_runs == 0 {
-            let interval = self.stream.output.last_at.since(first) / intervals;
-            self.stream.record_trial(target, trial::Outcome::Streamed(interval));
-        }
-    }
-
     fn log_continued(&self, failure: &Failure, attempt: &Attempt) {
         Event::StreamContinued {
             request: &self.stream.job.metadata.id,
@@ -234,7 +226,7 @@
     async fn finish(&mut self, target: &Target) {
         self.stream.copier.delete(&self.stream.gateway);
         let first = self.stream.output.first_at.unwrap_or(self.stream.job.started);
-        self.record_event_interval(target, first);
+        self.stream.record_event_interval(target);
         self.stream.output.finish().await;
         self.is_finished = true;
         Event::StreamDone {
--- a/crates/gateway/src/stream_attempt.rs
+++ b/crates/gateway/src/stream_attempt.rs
@@ -89,6 +89,9 @@
         let request = stream.job.request(&stream.gateway, &dispatch);
         let watchdog = Watchdog::for_first_event(stream.gateway.fleet().borrow().prefill_tokens(&target.id));
         let sent = stream.gateway.now();
+        if !stream.output.has_begun() {
+            stream.start_wait(target, trial::Latency::Response);
+        }
         let response = match watchdog
             .watch(
                 &stream.gateway,
@@ -207,18 +210,20 @@
                 if !stream.output.forward(now, &mut headers, event.bytes).await {
                     return Outcome::Completed;
                 }
+                if stream.output.events > u64::from(trial::SAMPLED_INTERVALS) {
+                    stream.record_event_interval(target);
+                }
             }
         }
     }
 
     /// Records the time to the first event for the trial of a version. Resumed streams are excluded, as their time is not
     /// comparable.
-    fn record_first_event(&self, stream: &Progress, sent: Instant) {
+    fn record_first_event(&self, stream: &mut Progress, sent: Instant) {
         if !stream.output.has_begun() {
-            stream.record_trial(
-                &self.target,
-                trial::Outcome::Responded(stream.gateway.now().since(sent)),
-            );
+            let took = stream.gateway.now().since(sent);
+            stream.record_trial(&self.target, trial::Outcome::Responded(took));
+            stream.start_wait(&self.target, trial::Latency::EventInterval);
         }
     }
 }
--- a/crates/gateway/src/stream_progress.rs
+++ b/crates/gateway/src/stream_progress.rs
@@ -9,6 +9,7 @@
 use crate::stream_output::Output;
 use crate::target::Target;
 use crate::trial;
+use crate::trial_wait::Wait;
 
 /// The state of a stream between and during attempts.
 pub(crate) struct Progress {
@@ -26,6 +27,8 @@
     pub backup: Option<Backup>,
     /// Creates a new copy after the backup has failed.
     pub copier: Copier,
+    /// The wait for the outcome of the attempt, for the trial of a version.
+    pub wait: Option<Wait>,
 }
 
 impl Progress {
@@ -39,6 +42,7 @@
             excluded: Vec::new(),
             backup: None,
             copier: Copier::default(),
+            wait: None,
         }
     }
 
@@ -87,8 +91,31 @@
         self.copier.start(&self.gateway, transfer);
     }
 
+    /// Starts to wait for an outcome at an engine.
+    pub(crate) fn start_wait(&mut self, target: &Target, latency: trial::Latency) {
+        self.wait = Some(Wait::start(&self.gateway, &self.job.route.name, target, latency));
+    }
+
     /// Records the outcome of an attempt for the trial of a version.
-    pub(crate) fn record_trial(&self, target: &Target, outcome: trial::Outcome) {
-        self.gateway.record_outcome(&self.job.route.name, target, outcome);
+    pub(crate) fn record_trial(&mut self, target: &Target, outcome: trial::Outcome) {
+        let is_counted = self.wait.take().is_some_and(Wait::end);
+        if is_counted {
+            self.gateway.record_baseline(&self.job.route.name, target, outcome);
+        } else {
+            self.gateway.record_outcome(&self.job.route.name, target, outcome);
+        }
+    }
+
+    /// Records the mean interval between the events so far, if the engine that sent the first one sent all of them and its
+    /// interval is not recorded yet.
+    pub(crate) fn record_event_interval(&mut self, target: &Target) {
+        let Some(first) = self.output.first_at.filter(|_| self.wait.is_some()) else {
+            return;
+        };
+        let intervals = u32::try_from(self.output.events.saturating_sub(1)).unwrap_or(u32::MAX);
+        if intervals > 0 {
+            let interval = self.output.last_at.since(first) / intervals;
+            self.record_trial(target, trial::Outcome::Streamed(interval));
+        }
     }
 }
--- a/crates/gateway/src/trial.rs
+++ b/crates/gateway/src/trial.rs
@@ -11,6 +11,7 @@
 use hawthornpost_core::rollout::{self, Rate};
 use serde::{Deserialize, Serialize};
 
+use crate::baseline::Baseline;
 use crate::duration::millis;
 use crate::rollout::{Order, State};
 use crate::versions::Versions;
@@ -27,11 +28,9 @@
 /// the verdict on the version.
 const ROTATION_INTERVAL: Duration = Duration::from_secs(3);
 /// A response that takes this multiple of the baseline is slow.
-const SLOW_FACTOR: f64 = 3.0;
-/// The number of responses of the old version below which a route has no baseline.
-const MIN_BASELINE_SAMPLES: u32 = 5;
-/// The weight of the latest response in the baseline.
-const BASELINE_WEIGHT: f64 = 0.1;
+const SLOW_FACTOR: f64 = 2.0;
+/// The number of intervals between events at the start of a stream that are one outcome.
+pub const SAMPLED_INTERVALS: u32 = 32;
 /// The share of bad outcomes below which a version is never rolled back. Servers also fail for reasons that do not
 /// depend on the version.
 const MIN_BAD_SHARE: f64 = 0.08;
@@ -62,6 +61,23 @@
     /// Bad outcomes of the new version.
     #[serde(rename = "nb", default)]
     pub new_bad: u64,
+    /// The latencies of the old version.
+    #[serde(rename = "l", default, skip_serializing_if = "Baseline::is_empty")]
+    pub baseline: Baseline,
+}
+
+/// The counts by route.
+pub type RouteCounts = BTreeMap<String, Counts>;
+
+/// The counts of one host. The kinds are apart because a slow version may be slow in one of them only.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Evidence {
+    /// Responses, first events of streams, and failures.
+    #[serde(rename = "counts")]
+    pub responses: RouteCounts,
+    /// Intervals between events of streams.
+    #[serde(default)]
+    pub intervals: RouteCounts,
 }
 
 /// The state and the counts of a trial at one host, for its peers.
@@ -73,8 +89,9 @@
     pub state: State,
     /// The time since the host received the order, in milliseconds.
     pub age_ms: u64,
-    /// The counts by route.
-    pub counts: BTreeMap<String, Counts>,
+    /// The counts.
+    #[serde(flatten)]
+    pub evidence: Evidence,
 }
 
 /// The outcome of a request.
@@ -82,21 +99,32 @@
 pub enum Outcome {
     /// The target responded after this time. For a stream, it is the time to the first event.
     Responded(Duration),
-    /// The stream was completed with this mean interval between events.
+    /// The first events of a stream, or all events of a short one, came with this mean interval.
     Streamed(Duration),
     /// It failed.
     Failed,
 }
 
 /// The kinds of latency that have a baseline.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-enum Latency {
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Latency {
     /// The time to the response, or to the first event of a stream.
     Response,
     /// The mean interval between events.
     EventInterval,
 }
 
+/// A request whose latency is not known yet.
+#[derive(Debug)]
+struct Wait {
+    route: String,
+    is_new: bool,
+    latency: Latency,
+    since: Instant,
+    /// Whether it is counted already, as a slow request.
+    is_counted: bool,
+}
+
 /// The trial of one version.
 #[derive(Debug)]
 pub struct Trial {
@@ -108,10 +136,11 @@
     /// Requests to the service at this host, and how many of them went to the new version.
     requests: u64,
     exposed: u64,
-    own_counts: BTreeMap<String, Counts>,
-    peer_counts: HashMap<String, BTreeMap<String, Counts>>,
-    /// The baselines by route: the number of samples from the old version and their mean in seconds.
-    baselines: HashMap<(String, Latency), (u32, f64)>,
+    /// The part of a request, below one, by which this host may exceed its share of the exposure.
+    rounding: f64,
+    own_evidence: Evidence,
+    peer_evidence: HashMap<String, Evidence>,
+    waits: HashMap<u64, Wait>,
 }
 
 impl Trial {
@@ -127,12 +156,21 @@
             order,
             requests: 0,
             exposed: 0,
-            own_counts: BTreeMap::new(),
-            peer_counts: HashMap::new(),
-            baselines: HashMap::new(),
+            rounding: 0.0,
+            own_evidence: Evidence::default(),
+            peer_evidence: HashMap::new(),
+            waits: HashMap::new(),
         }
     }
 
+    /// Sets the part of a request, below one, by which this host may exceed its share of the exposure. With a random part
+    /// at each host, many hosts together use the exposure even if the share of each is below one request.
+    #[must_use]
+    pub fn with_rounding(mut self, rounding: f64) -> Self {
+        self.rounding = rounding;
+        self
+    }
+
     /// Returns the order.
     pub fn order(&self) -> &Order {
         &self.order
@@ -162,13 +200,14 @@
         let elapsed_share = now.since(self.started).as_secs_f64() / self.order.duration.as_secs_f64().max(1.0);
         let slack = exposure.slack / hosts.max(1) as f64 * elapsed_share.min(1.0);
         let max_exposed = USABLE_SHARE * exposure.share.mul_add(self.requests as f64, slack);
-        if self.exposed as f64 + 1.0 > max_exposed {
+        if self.exposed as f64 + 1.0 > max_exposed + self.rounding {
             return self.stable_versions();
         }
         let rotation = now.since(self.started).as_millis() / ROTATION_INTERVAL.as_millis();
         Versions::Only {
             version: self.order.version.clone(),
-            share: exposure.share,
+            // With more requests than the share, which the slack allows, fewer targets would be overloaded.
+            share: (max_exposed / self.requests as f64).clamp(exposure.share, 1.0),
             rotation: usize::try_from(rotation).unwrap_or_default(),
         }
     }
@@ -196,17 +235,28 @@
         if self.state != State::InProgress {
             return;
         }
-        let is_new = self.is_new(version);
-        let sample = match outcome {
-            Outcome::Failed => None,
-            Outcome::Responded(took) => Some((Latency::Response, took)),
-            Outcome::Streamed(interval) => Some((Latency::EventInterval, interval)),
-        };
-        let is_bad = sample.is_none_or(|(latency, time)| self.is_slow(route, latency, time));
-        if let Some((latency, time)) = sample.filter(|_| !is_new) {
-            self.update_baseline(route, latency, time);
+        let is_bad = outcome
+            .latency()
+            .is_none_or(|(latency, took)| self.is_slow(route, latency, took));
+        self.record_baseline(route, version, outcome);
+        let kind = outcome.latency().map_or(Latency::Response, |(latency, _)| latency);
+        self.count(kind, route, self.is_new(version), is_bad);
+    }
+
+    /// Adds the latency of a request that is counted already to the baseline.
+    pub fn record_baseline(&mut self, route: &str, version: &str, outcome: Outcome) {
+        if self.is_new(version) {
+            return;
+        }
+        if let Some((latency, took)) = outcome.latency() {
+            let counts = self.own_evidence.routes_mut(latency).entry(route.to_owned());
+            counts.or_default().baseline.record(took);
         }
-        let counts = self.own_counts.entry(route.to_owned()).or_default();
+    }
+
+    fn count(&mut self, kind: Latency, route: &str, is_new: bool, is_bad: bool) {
+        let counts = self.own_evidence.routes_mut(kind).entry(route.to_owned());
+        let counts = counts.or_default();
         if is_new {
             counts.new += 1;
             counts.new_bad += u64::from(is_bad);
@@ -216,19 +266,58 @@
         }
     }
 
+    /// Starts to wait for the latency of a request at a target of a version. A wait that becomes slow is counted before
+    /// it ends.
+    pub fn start_wait(&mut self, id: u64, now: Instant, route: &str, version: &str, latency: Latency) {
+        let wait = Wait {
+            route: route.to_owned(),
+            is_new: self.is_new(version),
+            latency,
+            since: now,
+            is_counted: false,
+        };
+        self.waits.insert(id, wait);
+    }
+
+    /// Ends a wait and returns whether the request is counted already.
+    pub fn end_wait(&mut self, id: u64) -> bool {
+        self.waits.remove(&id).is_some_and(|wait| wait.is_counted)
+    }
+
+    /// Counts the requests that have waited for so long that they are slow whenever they end.
+    fn count_slow_waits(&mut self, now: Instant) {
+        let is_slow = |wait: &Wait| self.is_slow(&wait.route, wait.latency, wait.min_latency(now));
+        let open = self.waits.iter().filter(|(_, wait)| !wait.is_counted);
+        let slow = open.filter(|(_, wait)| is_slow(wait)).map(|(id, _)| *id);
+        for id in slow.collect::<Vec<_>>() {
+            let Some(wait) = self.waits.get_mut(&id) else {
+                continue;
+            };
+            wait.is_counted = true;
+            let (kind, route, is_new) = (wait.latency, wait.route.clone(), wait.is_new);
+            self.count(kind, &route, is_new, true);
+        }
+    }
+
     fn is_slow(&self, route: &str, latency: Latency, took: Duration) -> bool {
-        let baseline = self
-            .baselines
-            .get(&(route.to_owned(), latency))
-            .filter(|(count, _)| *count >= MIN_BASELINE_SAMPLES);
-        baseline.is_some_and(|(_, mean)| took.as_secs_f64() > SLOW_FACTOR * mean)
+        let mean = self.baseline(route, latency).mean();
+        mean.is_some_and(|mean| took > mean.mul_f64(SLOW_FACTOR))
     }
 
-    fn update_baseline(&mut self, route: &str, latency: Latency, took: Duration) {
-        let (count, mean) = self.baselines.entry((route.to_owned(), latency)).or_default();
-        *count = count.saturating_add(1);
-        let weight = BASELINE_WEIGHT.max(1.0 / f64::from(*count));
-        *mean += weight * (took.as_secs_f64() - *mean);
+    /// Returns the baseline of a route from all hosts, as a single one may see few requests during a trial.
+    fn baseline(&self, route: &str, latency: Latency) -> Baseline {
+        let mut all = Baseline::default();
+        for evidence in self.evidence() {
+            if let Some(counts) = evidence.routes(latency).get(route) {
+                all.add(counts.baseline);
+            }
+        }
+        all
+    }
+
+    /// Returns the evidence of all hosts.
+    fn evidence(&self) -> impl Iterator<Item = &Evidence> {
+        self.peer_evidence.values().chain([&self.own_evidence])
     }
 
     /// Returns the time since the order was received, in milliseconds.
@@ -242,7 +331,7 @@
             order: self.order.clone(),
             state: self.state,
             age_ms: self.age_ms(now),
-            counts: self.own_counts.clone(),
+            evidence: self.own_evidence.clone(),
         }
     }
 
@@ -258,27 +347,34 @@
         self.started = self
             .started
             .min(Instant::from_start(now.since_start().saturating_sub(age)));
-        if self.peer_counts.len() < MAX_PEERS || self.peer_counts.contains_key(peer) {
-            self.peer_counts.insert(peer.to_owned(), observation.counts);
+        if self.peer_evidence.len() < MAX_PEERS || self.peer_evidence.contains_key(peer) {
+            self.peer_evidence.insert(peer.to_owned(), observation.evidence);
         }
     }
 
-    /// Returns the counts of all hosts by route.
-    pub fn counts(&self) -> BTreeMap<&str, Counts> {
+    /// Returns the counts of one kind from all hosts by route.
+    fn counts(&self, kind: Latency) -> BTreeMap<&str, Counts> {
         let mut sums = BTreeMap::<&str, Counts>::new();
-        for (route, counts) in self.peer_counts.values().chain([&self.own_counts]).flatten() {
+        for (route, counts) in self.evidence().flat_map(|evidence| evidence.routes(kind)) {
             sums.entry(route).or_default().add(*counts);
         }
         sums
     }
 
-    /// Returns the counts of all hosts and routes.
+    /// Returns the counts of all hosts, kinds and routes.
     pub fn total(&self) -> Counts {
-        let mut total = Counts::default();
-        for of_route in self.counts().values() {
-            total.add(*of_route);
-        }
-        total
+        let counts = Latency::ALL
+            .into_iter()
+            .flat_map(|kind| self.counts(kind).into_values());
+        Counts::sum(counts)
+    }
+
+    /// Returns whether the new version is worse, on a route or the whole service.
+    fn is_bad(&self) -> bool {
+        Latency::ALL.into_iter().any(|kind| {
+            let counts = self.counts(kind);
+            counts.values().any(Counts::is_bad) || Counts::sum(counts.into_values()).is_bad()
+        })
     }
 
     /// Decides on the trial and returns the state. A bad version is rolled back at once, a good one replaces the old
@@ -287,25 +383,73 @@
         if self.state != State::InProgress {
             return self.state;
         }
-        let all = self.total();
-        let is_bad = all.is_bad() || self.counts().values().any(Counts::is_bad);
+        self.count_slow_waits(now);
         let is_due = now.since(self.started) + DECISION_MARGIN >= self.order.duration;
-        self.state = match (is_bad, is_due) {
+        self.state = match (self.is_bad(), is_due) {
             (true, _) => State::RolledBack,
             (false, false) => State::InProgress,
-            (false, true) if all.new < MIN_OUTCOMES => State::RolledBack,
+            (false, true) if self.total().new < MIN_OUTCOMES => State::RolledBack,
             (false, true) => State::Completed,
         };
         self.state
     }
 }
 
+impl Latency {
+    const ALL: [Self; 2] = [Self::Response, Self::EventInterval];
+}
+
+impl Evidence {
+    fn routes(&self, kind: Latency) -> &RouteCounts {
+        match kind {
+            Latency::Response => &self.responses,
+            Latency::EventInterval => &self.intervals,
+        }
+    }
+
+    fn routes_mut(&mut self, kind: Latency) -> &mut RouteCounts {
+        match kind {
+            Latency::Response => &mut self.responses,
+            Latency::EventInterval => &mut self.intervals,
+        }
+    }
+}
+
+impl Outcome {
+    fn latency(self) -> Option<(Latency, Duration)> {
+        match self {
+            Self::Responded(took) => Some((Latency::Response, took)),
+            Self::Streamed(interval) => Some((Latency::EventInterval, interval)),
+            Self::Failed => None,
+        }
+    }
+}
+
+impl Wait {
+    /// Returns the latency that the request has at least.
+    fn min_latency(&self, now: Instant) -> Duration {
+        let waited = now.since(self.since);
+        match self.latency {
+            Latency::Response => waited,
+            Latency::EventInterval => waited / SAMPLED_INTERVALS,
+        }
+    }
+}
+
 impl Counts {
     fn add(&mut self, other: Self) {
         self.old += other.old;
         self.old_bad += other.old_bad;
         self.new += other.new;
         self.new_bad += other.new_bad;
+        self.baseline.add(other.baseline);
+    }
+
+    fn sum(counts: impl Iterator<Item = Self>) -> Self {
+        counts.fold(Self::default(), |mut sum, counts| {
+            sum.add(counts);
+            sum
+        })
     }
 
     fn is_bad(&self) -> bool {
--- a/crates/gateway/tests/trial.rs
+++ b/crates/gateway/tests/trial.rs
@@ -4,7 +4,7 @@
 
 use hawthornpost_core::clock::Instant;
 use hawthornpost_gateway::rollout::{Order, State};
-use hawthornpost_gateway::trial::{Exposure, Outcome, Trial};
+use hawthornpost_gateway::trial::{Exposure, Latency, Outcome, SAMPLED_INTERVALS, Trial};
 use hawthornpost_gateway::versions::Versions;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -158,3 +158,133 @@
     early.merge_peer(due, "late", late.observation(due));
     assert_eq!(early.state(), State::Completed);
 }
+
+/// The interval between requests of a deployment with many hosts, each of which sees a few requests during an order.
+const SPARSE_STEP_MS: u64 = 30;
+const MANY_HOSTS: usize = 86;
+/// The steps between two exchanges of counts among many hosts.
+const SPARSE_EXCHANGE_STEPS: u64 = 23;
+/// The time to the first event of the old version.
+const FIRST_EVENT: Duration = Duration::from_secs(1);
+/// The interval between events of the old version.
+const EVENT_INTERVAL: Duration = Duration::from_millis(30);
+
+/// The speed of a version of model engines.
+#[derive(Clone, Copy, Debug)]
+struct Speed {
+    first_event_factor: f64,
+    interval_factor: f64,
+    /// The share of the streams to which the factors apply.
+    share: f64,
+}
+
+const USUAL: Speed = Speed {
+    first_event_factor: 1.0,
+    interval_factor: 1.0,
+    share: 0.0,
+};
+
+/// An outcome in the future, or the start of the wait for the next one.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    First { first_event: Duration, interval: Duration },
+    Sampled(Duration),
+}
+
+/// Runs a trial of model engines, whose outcomes come long after their requests, on many hosts with few requests each.
+/// Returns the verdict with its time in milliseconds, the requests, and the requests to the new version.
+fn run_stream_trial(seed: u64, new_version: Speed) -> (State, u64, u64, u64) {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut trials = (0..MANY_HOSTS)
+        .map(|_| Trial::new(order(), Instant::ZERO, ["v1".to_owned()].into()).with_rounding(random.random()))
+        .collect::<Vec<_>>();
+    let mut due = std::collections::BTreeMap::<(u64, u64), (usize, &str, Step)>::new();
+    let (mut requests, mut exposed) = (0, 0);
+    for step in 0.. {
+        let now_ms = step * SPARSE_STEP_MS;
+        let now = Instant::from_millis(now_ms);
+        while let Some(entry) = due.first_entry().filter(|entry| entry.key().0 <= now_ms) {
+            let (_, id) = *entry.key();
+            let (host, version, next) = entry.remove();
+            let outcome = match next {
+                Step::First { first_event, .. } => Outcome::Responded(first_event),
+                Step::Sampled(interval) => Outcome::Streamed(interval),
+            };
+            let trial = &mut trials[host];
+            if trial.end_wait(id) {
+                trial.record_baseline("draft", version, outcome);
+            } else {
+                trial.record("draft", version, outcome);
+            }
+            if let Step::First { interval, .. } = next {
+                trial.start_wait(id, now, "draft", version, Latency::EventInterval);
+                let sampled_ms = u64::try_from((interval * SAMPLED_INTERVALS).as_millis()).expect("milliseconds");
+                due.insert((now_ms + sampled_ms, id), (host, version, Step::Sampled(interval)));
+            }
+        }
+        let host = random.random_range(0..MANY_HOSTS);
+        let is_new = matches!(trials[host].versions(now, EXPOSURE, MANY_HOSTS), Versions::Only { .. });
+        requests += 1;
+        exposed += u64::from(is_new);
+        if is_new {
+            trials[host].record_exposed();
+        }
+        let quality = if is_new && random.random::<f64>() < new_version.share {
+            new_version
+        } else {
+            USUAL
+        };
+        let noise = random.random_range(0.6..1.6);
+        let first_event = FIRST_EVENT.mul_f64(quality.first_event_factor * noise);
+        let interval = EVENT_INTERVAL.mul_f64(quality.interval_factor * random.random_range(0.8..1.3));
+        let version = if is_new { "v2" } else { "v1" };
+        trials[host].start_wait(step, now, "draft", version, Latency::Response);
+        let first_ms = u64::try_from(first_event.as_millis()).expect("milliseconds");
+        due.insert(
+            (now_ms + first_ms, step),
+            (host, version, Step::First { first_event, interval }),
+        );
+        if step % SPARSE_EXCHANGE_STEPS == 0 {
+            let observations = trials.iter().map(|trial| trial.observation(now)).collect::<Vec<_>>();
+            for (host, trial) in trials.iter_mut().enumerate() {
+                for (peer, observation) in observations.iter().enumerate().filter(|(peer, _)| *peer != host) {
+                    trial.merge_peer(now, &format!("peer-{peer}"), observation.clone());
+                }
+                trial.decide(now);
+            }
+        }
+        let state = trials[0].state();
+        if state != State::InProgress {
+            return (state, now_ms, requests, exposed);
+        }
+    }
+    unreachable!("a trial ends at its deadline")
+}
+
+/// Guards against a slow version of model engines that is kept, or rolled back only at the deadline, because its answers
+/// count when they end and a single host sees few of them.
+#[test_case(Speed { first_event_factor: 8.0, interval_factor: 8.0, share: 1.0 }, 8_000; "eight times slower")]
+#[test_case(Speed { first_event_factor: 4.0, interval_factor: 4.0, share: 0.5 }, 12_000; "half four times slower")]
+#[test_case(Speed { first_event_factor: 3.0, interval_factor: 3.0, share: 1.0 }, 10_000; "three times slower")]
+#[test_case(Speed { first_event_factor: 1.0, interval_factor: 8.0, share: 1.0 }, 10_000; "slow after the first event")]
+fn slow_engines_are_rolled_back_while_streams_run(new: Speed, latest_ms: u64) {
+    for seed in 0..12 {
+        let (state, at_ms, requests, exposed) = run_stream_trial(seed, new);
+        assert_eq!(state, State::RolledBack, "seed {seed}");
+        assert!(at_ms <= latest_ms, "seed {seed}: {at_ms}");
+        let allowed = EXPOSURE.share.mul_add(requests as f64, EXPOSURE.slack);
+        assert!(
+            exposed > 0 && exposed as f64 <= allowed,
+            "seed {seed}: {exposed} of {requests}"
+        );
+    }
+}
+
+/// Guards against a good version that is rolled back because each of many hosts may expose less than one request.
+#[test]
+fn good_engines_replace_the_old_ones_at_many_hosts() {
+    for seed in 0..12 {
+        let (state, at_ms, ..) = run_stream_trial(seed, USUAL);
+        assert_eq!(state, State::Completed, "seed {seed}: {at_ms}");
+    }
+}
