--- a/crates/gateway/src/stream_attempt.rs
+++ b/crates/gateway/src/stream_attempt.rs
@@ -97,6 +97,9 @@
         connection.set_limits(Limits::stream(event_quota::max_tokens(&stream.job.metadata)));
         let watchdog = Watchdog::for_first_event(stream.gateway.fleet().borrow().prefill_tokens(&target.id));
         let sent = stream.gateway.now();
+        if !stream.output.has_begun() {
+            stream.start_wait(target, trial::Latency::Response);
+        }
         let response = match self.wait(stream, watchdog, connection.send(request)).await {
             Ok(Ok(response)) => response,
             Ok(Err(Failure::Excess { excess, .. })) => return self.cut_off(stream, excess, sent),
@@ -217,6 +220,9 @@
                 if !stream.output.forward(now, &mut headers, bytes).await {
                     return Outcome::Completed;
                 }
+                if stream.output.events > u64::from(trial::SAMPLED_INTERVALS) {
+                    stream.record_event_interval(target);
+                }
             }
             if has_progress {
                 quota.record_progress();
@@ -300,12 +306,11 @@
 
     /// Records the time to the first event for the trial of a version. Resumed streams are excluded, as their time is not
     /// comparable.
-    fn record_first_event(&self, stream: &Progress, sent: Instant) {
+    fn record_first_event(&self, stream: &mut Progress, sent: Instant) {
         if !stream.output.has_begun() {
-            stream.record_trial(
-                &self.target,
-                trial::Outcome::Responded(stream.gateway.now().since(sent)),
-            );
+            let took = stream.gateway.now().since(sent);
+            stream.record_trial(&self.target, trial::Outcome::Responded(took));
+            stream.start_wait(&self.target, trial::Latency::EventInterval);
         }
     }
 }
