--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use http_body::Body as _;
 use hyper::header::CONTENT_TYPE;
 use hyper::{Response, StatusCode};
 use serde::Serialize;
@@ -9,7 +10,8 @@
 
 use crate::body::Body;
 use crate::gateway::Gateway;
-use crate::metric;
+use crate::metric::{self, Direction};
+use crate::platform::Kind;
 use crate::response;
 use crate::sync::{CONFIG_PATH, TARGETS_PATH, Targets};
 
@@ -51,7 +53,7 @@
 pub(crate) fn for_peer(gateway: &Gateway, path: &str) -> Response<Body> {
     match path {
         CONFIG_PATH => match gateway.config() {
-            Some(config) => json_page(&*config),
+            Some(config) => state_page(Kind::Config, &*config),
             None => response::text(
                 StatusCode::NOT_FOUND,
                 "no configuration is known; ask another entry host",
@@ -59,10 +61,11 @@
         },
         TARGETS_PATH if gateway.fleet_revision() > 0 => {
             let fleet = gateway.fleet().borrow();
-            json_page(&Targets {
+            let targets = Targets {
                 revision: gateway.fleet_revision(),
                 targets: fleet.listed().map(|target| (**target).clone()).collect(),
-            })
+            };
+            state_page(Kind::Targets, &targets)
         }
         TARGETS_PATH => response::text(StatusCode::NOT_FOUND, "no targets are known; ask another entry host"),
         _ => metrics(gateway, path),
@@ -99,6 +102,14 @@
     })
 }
 
+/// Builds a response with state for a peer and counts its bytes.
+fn state_page(kind: Kind, state: &impl Serialize) -> Response<Body> {
+    let response = json_page(state);
+    let bytes = response.body().size_hint().exact().unwrap_or_default();
+    metric::record_transfer(kind, Direction::Sent, usize::try_from(bytes).unwrap_or(usize::MAX));
+    response
+}
+
 fn json_page(value: &impl Serialize) -> Response<Body> {
     match serde_json::to_vec(value) {
         Ok(bytes) => page(JSON, bytes),
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -7,6 +7,7 @@
 
 use crate::event::Event;
 use crate::gateway::Gateway;
+use crate::platform::Kind;
 
 /// Requests by route, account and outcome.
 pub const REQUESTS: &str = "hawthornpost_gateway_requests_total";
@@ -20,6 +21,10 @@
 pub const ATTEMPTS_FAILED: &str = "hawthornpost_gateway_attempts_failed_total";
 /// Refused requests by status.
 pub const REFUSED: &str = "hawthornpost_gateway_refused_total";
+/// Bytes of response bodies with state that were sent to or fetched from peers, by kind and direction.
+pub const STATE_BYTES: &str = "hawthornpost_gateway_peer_state_bytes_total";
+/// Transfers of state to or from peers, by kind and direction.
+pub const STATE_TRANSFERS: &str = "hawthornpost_gateway_peer_state_transfers_total";
 /// Log events by number.
 pub const EVENTS: &str = "hawthornpost_gateway_events_total";
 /// The version of the configuration in force.
@@ -52,6 +57,14 @@
         "attempts without a usable answer, by whether the request ran",
     ),
     (REFUSED, "refused requests by status"),
+    (
+        STATE_BYTES,
+        "bytes of state sent to or fetched from peers, by kind and direction",
+    ),
+    (
+        STATE_TRANSFERS,
+        "transfers of state to or from peers, by kind and direction",
+    ),
     (EVENTS, "log events by number, written or not"),
     (CONFIG_VERSION, "version of the configuration in force"),
     (
@@ -64,6 +77,15 @@
     (READY, "1 when this host takes new work, otherwise 0"),
 ];
 
+/// The direction of a transfer, seen from this host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Direction {
+    /// To a peer.
+    Sent,
+    /// From a peer.
+    Fetched,
+}
+
 /// The interval of the recorder's upkeep; between two runs histograms keep every sample.
 pub(crate) const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
 /// The upper bounds of the histogram buckets, in seconds.
@@ -132,6 +154,17 @@
     }
 }
 
+/// Counts a transfer of state between this host and a peer.
+pub(crate) fn record_transfer(kind: Kind, direction: Direction, bytes: usize) {
+    let direction = match direction {
+        Direction::Sent => "sent",
+        Direction::Fetched => "fetched",
+    };
+    let labels = [("kind", kind.name()), ("direction", direction)];
+    metrics::counter!(STATE_TRANSFERS, &labels).increment(1);
+    metrics::counter!(STATE_BYTES, &labels).increment(bytes as u64);
+}
+
 fn count_request(route: &str, account: &str, outcome: &'static str) {
     let labels = [
         ("route", route.to_owned()),
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -17,6 +17,17 @@
     Rollouts,
 }
 
+impl Kind {
+    /// Returns the name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Config => "config",
+            Self::Targets => "targets",
+            Self::Rollouts => "rollouts",
+        }
+    }
+}
+
 /// An object of the store.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Object {
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -14,6 +14,7 @@
 use crate::event::Event;
 use crate::feed::{self, Freshness, Step, Update};
 use crate::gateway::Gateway;
+use crate::metric::{self, Direction};
 use crate::platform::{Change, Failure, Kind, Object, Platform};
 use crate::registry::Registry;
 use crate::target::Target;
@@ -292,7 +293,7 @@
 
     /// Fetches the targets of a peer and applies them if they are newer.
     async fn fetch_targets(&self, address: SocketAddr) {
-        let Some(fetched) = fetch::<Targets>(&self.gateway, address, TARGETS_PATH).await else {
+        let Some(fetched) = fetch::<Targets>(&self.gateway, address, Kind::Targets, TARGETS_PATH).await else {
             return;
         };
         if fetched.revision <= self.gateway.fleet_revision() {
@@ -403,16 +404,31 @@
 }
 
 async fn fetch_config(gateway: &Gateway, address: SocketAddr) {
-    if let Some(config) = fetch::<Config>(gateway, address, CONFIG_PATH).await {
+    if let Some(config) = fetch::<Config>(gateway, address, Kind::Config, CONFIG_PATH).await {
         gateway.activate_config(config, "peer");
     }
 }
 
-async fn fetch<T: for<'a> Deserialize<'a>>(gateway: &Gateway, address: SocketAddr, path: &str) -> Option<T> {
+async fn fetch<T: for<'a> Deserialize<'a>>(
+    gateway: &Gateway,
+    address: SocketAddr,
+    kind: Kind,
+    path: &str,
+) -> Option<T> {
+    let started = gateway.now();
     let response = Call::get(address, path).run(gateway.timer(), PEER_CALL_BOUNDS).await;
     let body = response
         .inspect_err(|error| log::debug!("cannot fetch {path} from peer {address}: {error}"))
         .ok()?;
+    metric::record_transfer(kind, Direction::Fetched, body.len());
+    Event::StateFetched {
+        kind: kind.name(),
+        peer: &address.to_string(),
+        bytes: body.len(),
+        took_ms: millis(gateway.now().since(started)),
+        what: "state was fetched from a peer",
+    }
+    .log();
     serde_json::from_slice(&body)
         .inspect_err(|error| log::debug!("cannot decode {path} from peer {address}: {error}"))
         .ok()
