Send the changes of the configuration to peers, not the whole

Cause: each new version, about 130 KB with 390 routes, went whole and uncompressed from few watchers to all hosts. Change: a peer asks for the configuration since its version and gets deltas, which begin at that version and carry a checksum of the result; a delta that does not fit is followed by a request for the whole. Whole state (configuration, targets) is compressed once per version and sent one transfer after the other at a quarter of a link of 10 Mbit/s at most. A peer that is turned away asks another one or again, and the store after 0.6 s. The sender of an update is asked when no peer is known to have the version yet; so far the store was asked then. Hosts of the build before get and send plain JSON as before. Weights are parsed exactly (serde_json float_roundtrip), as the checksum covers them. A literal of a call in backup.rs uses the constructor.

--- a/crates/gateway/src/backup.rs
+++ b/crates/gateway/src/backup.rs
@@ -179,9 +179,8 @@
         let (path, body) = gateway.dialect().encode_copy(&self.request, target.address);
         let call = Call {
             method: Method::POST,
-            address: self.source.address,
-            path,
             body: Bytes::from(body),
+            ..Call::get(self.source.address, path)
         };
         match call.run(gateway.timer(), COPY_CALL_BOUNDS).await {
             Ok(response) => gateway.dialect().decode_copy_handle(&response),
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -6,8 +6,8 @@
 use bytes::Bytes;
 use hawthornpost_daemon::timer::Timer;
 use http_body_util::Full;
-use hyper::header::{CONTENT_TYPE, HOST};
-use hyper::{Method, Request, StatusCode};
+use hyper::header::{ACCEPT_ENCODING, CONTENT_TYPE, HOST};
+use hyper::{Method, Request, Response, StatusCode};
 
 use crate::outbound::{Connection, Failure};
 
@@ -20,6 +20,8 @@
     pub address: SocketAddr,
     /// The path.
     pub path: &'a str,
+    /// The content coding that is accepted for the response body, if any.
+    pub accept_encoding: Option<&'static str>,
     /// The JSON body; empty if there is none.
     pub body: Bytes,
 }
@@ -42,6 +44,7 @@
             method: Method::GET,
             address,
             path,
+            accept_encoding: None,
             body: Bytes::new(),
         }
     }
@@ -52,17 +55,28 @@
     ///
     /// Fails when there is no complete response within the limits, or when its status is not a success.
     pub(crate) async fn run(self, timer: &Timer, bounds: Bounds) -> Result<Bytes, Failure> {
+        self.run_for_response(timer, bounds).await.map(Response::into_body)
+    }
+
+    /// Makes the call and returns a successful response with its headers.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Self::run`].
+    pub(crate) async fn run_for_response(self, timer: &Timer, bounds: Bounds) -> Result<Response<Bytes>, Failure> {
         let address = self.address;
         let exchange = async {
             let mut connection = Connection::open(address, bounds.connect_timeout).await?;
-            connection.exchange(self.request()?, bounds.max_bytes).await
+            connection
+                .exchange_for_response(self.request()?, bounds.max_bytes)
+                .await
         };
         let response = timer.timeout(bounds.total_timeout, exchange).await;
-        let (status, body) = response.unwrap_or(Err(Failure::Timeout { address }))?;
-        if status.is_success() {
-            Ok(body)
+        let response = response.unwrap_or(Err(Failure::Timeout { address }))?;
+        if response.status().is_success() {
+            Ok(response)
         } else {
-            Err(unexpected_status(address, status))
+            Err(unexpected_status(address, response.status()))
         }
     }
 
@@ -71,6 +85,10 @@
             .method(self.method)
             .uri(self.path)
             .header(HOST, self.address.to_string());
+        let request = match self.accept_encoding {
+            Some(coding) => request.header(ACCEPT_ENCODING, coding),
+            None => request,
+        };
         let request = if self.body.is_empty() {
             request
         } else {
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -2,18 +2,16 @@
 
 use std::time::Duration;
 
-use http_body::Body as _;
-use hyper::header::CONTENT_TYPE;
-use hyper::{Response, StatusCode};
+use hyper::header::{CONTENT_TYPE, HeaderMap};
+use hyper::{Response, StatusCode, Uri};
 use serde::Serialize;
 use serde_json::json;
 
 use crate::body::Body;
 use crate::gateway::Gateway;
-use crate::metric::{self, Direction};
-use crate::platform::Kind;
+use crate::metric;
 use crate::response;
-use crate::sync::{CONFIG_PATH, TARGETS_PATH, Targets};
+use crate::state_sender::{CONFIG_PATH, TARGETS_PATH};
 
 /// The maximum TTL of an address lookup response. A short one moves callers away from a failed host soon.
 const MAX_ADDRESS_TTL: Duration = Duration::from_secs(2);
@@ -50,25 +48,11 @@
 }
 
 /// Responds to a peer that fetches the configuration or the targets.
-pub(crate) fn for_peer(gateway: &Gateway, path: &str) -> Response<Body> {
-    match path {
-        CONFIG_PATH => match gateway.config() {
-            Some(config) => state_page(Kind::Config, &*config),
-            None => response::text(
-                StatusCode::NOT_FOUND,
-                "no configuration is known; ask another entry host",
-            ),
-        },
-        TARGETS_PATH if gateway.fleet_revision() > 0 => {
-            let fleet = gateway.fleet().borrow();
-            let targets = Targets {
-                revision: gateway.fleet_revision(),
-                targets: fleet.listed().map(|target| (**target).clone()).collect(),
-            };
-            state_page(Kind::Targets, &targets)
-        }
-        TARGETS_PATH => response::text(StatusCode::NOT_FOUND, "no targets are known; ask another entry host"),
-        _ => metrics(gateway, path),
+pub(crate) fn for_peer(gateway: &Gateway, uri: &Uri, headers: &HeaderMap) -> Response<Body> {
+    match uri.path() {
+        CONFIG_PATH => gateway.state_sender().send_config(gateway, uri, headers),
+        TARGETS_PATH => gateway.state_sender().send_targets(gateway, headers),
+        path => metrics(gateway, path),
     }
 }
 
@@ -102,14 +86,6 @@
     })
 }
 
-/// Builds a response with state for a peer and counts its bytes.
-fn state_page(kind: Kind, state: &impl Serialize) -> Response<Body> {
-    let response = json_page(state);
-    let bytes = response.body().size_hint().exact().unwrap_or_default();
-    metric::record_transfer(kind, Direction::Sent, usize::try_from(bytes).unwrap_or(usize::MAX));
-    response
-}
-
 fn json_page(value: &impl Serialize) -> Response<Body> {
     match serde_json::to_vec(value) {
         Ok(bytes) => page(JSON, bytes),
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -88,7 +88,7 @@
     /// An object of the store cannot be decoded.
     923 Warn ObjectUnusable { object: &'a str, reason: &'a str, revision: u64 }
     /// State was fetched from a peer.
-    924 Info StateFetched { kind: &'a str, peer: &'a str, bytes: usize, took_ms: u64 }
+    924 Info StateFetched { kind: &'a str, form: &'a str, peer: &'a str, bytes: usize, took_ms: u64 }
     /// The membership state of another entry host has changed.
     931 Info PeerChanged { peer: &'a str, state: &'a str, draining: bool, incarnation: u64 }
     /// A target was added, changed or removed.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,6 +11,7 @@
 
 use crate::budget::Budget;
 use crate::config::Config;
+use crate::config_delta::{self, Delta};
 use crate::dialect::Dialect;
 use crate::event::Event;
 use crate::fleet::Fleet;
@@ -20,6 +21,7 @@
 use crate::rollouts::Rollouts;
 use crate::route::Table;
 use crate::settings::{LimitSettings, Settings};
+use crate::state_sender::Sender;
 use crate::successor::{self, Replacement};
 use crate::target::Target;
 use crate::trial::{Observation, Outcome};
@@ -35,6 +37,7 @@
     timer: Timer,
     dialect: Box<dyn Dialect>,
     config: RefCell<Option<Rc<Config>>>,
+    state_sender: Sender,
     table: RefCell<Rc<Table>>,
     fleet: RefCell<Fleet>,
     fleet_revision: Cell<u64>,
@@ -89,6 +92,7 @@
             timer: Timer::new(),
             dialect: Box::new(dialect),
             config: RefCell::default(),
+            state_sender: Sender::default(),
             table: RefCell::default(),
             fleet: RefCell::new(Fleet::new(rand::random())),
             fleet_revision: Cell::default(),
@@ -154,10 +158,37 @@
 
     /// Activates a configuration if its version is higher than the active one. Versions never decrease within a process.
     pub fn activate_config(&self, config: Config, source: &str) {
-        let before = self.config_version();
-        if config.version <= before {
+        if config.version <= self.config_version() {
             return;
         }
+        if let Some(before) = self.config() {
+            self.state_sender.record_change(&Delta::between(&before, &config));
+        }
+        self.replace_config(config, source);
+    }
+
+    /// Activates the result of successive changes by a peer if its version is higher than the active one.
+    ///
+    /// # Errors
+    ///
+    /// Fails without a change when the changes do not begin at the active configuration.
+    pub(crate) fn apply_config_deltas(&self, deltas: &[Delta]) -> Result<(), config_delta::Failure> {
+        let version = deltas.last().map(Delta::version).unwrap_or_default();
+        if version <= self.config_version() {
+            return Ok(());
+        }
+        let base = self.config().unwrap_or_default();
+        let apply = |config: Config, delta: &Delta| delta.apply(&config);
+        let config = deltas.iter().try_fold((*base).clone(), apply)?;
+        for delta in deltas {
+            self.state_sender.record_change(delta);
+        }
+        self.replace_config(config, "peer");
+        Ok(())
+    }
+
+    fn replace_config(&self, config: Config, source: &str) {
+        let before = self.config_version();
         let version = config.version;
         let table = Table::new(config.clone());
         *self.table.borrow_mut() = Rc::new(table);
@@ -174,6 +205,11 @@
         self.publish_readiness();
     }
 
+    /// Returns the sender of state to peers.
+    pub(crate) fn state_sender(&self) -> &Sender {
+        &self.state_sender
+    }
+
     /// Returns the targets.
     pub fn fleet(&self) -> &RefCell<Fleet> {
         &self.fleet
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,8 @@
 //! | [`body`] | response bodies |
 //! | [`budget`] | retry budget, which all entry hosts share |
 //! | [`config`] | a version of the configuration |
+//! | [`config_delta`] | difference between two versions of the configuration |
+//! | [`config_history`] | recent changes of the configuration |
 //! | [`dialect`] | request and response headers of the platform |
 //! | [`event`] | numbered log events |
 //! | [`event_stream`] | parser of `text/event-stream` bodies |
@@ -26,6 +28,7 @@
 //! | [`rollouts`] | rollout orders known to a host, with their trials |
 //! | [`route`] | routing table: route and account of a request |
 //! | [`run`] | startup, signals, shutdown |
+//! | [`send_rate`] | limit of the rate at which state is sent to peers |
 //! | [`settings`] | settings file |
 //! | [`stream_output`] | output of a stream to its caller |
 //! | [`target`] | targets as the platform lists them |
@@ -36,7 +39,10 @@
 pub mod body;
 pub mod budget;
 mod call;
+mod compression;
 pub mod config;
+pub mod config_delta;
+pub mod config_history;
 mod datagram;
 pub mod dialect;
 mod directory;
@@ -52,6 +58,7 @@
 mod headers;
 mod ingress;
 mod job;
+mod list_delta;
 mod listener;
 pub mod load;
 pub mod load_report;
@@ -72,8 +79,11 @@
 mod rollouts_runner;
 pub mod route;
 pub mod run;
+pub mod send_rate;
 pub mod settings;
 mod stall;
+mod state_fetcher;
+mod state_sender;
 mod stream;
 mod stream_attempt;
 pub mod stream_output;
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -116,7 +116,7 @@
         Purpose::Callers => crate::ingress::handle(gateway, request, framing).await,
         Purpose::Readiness => crate::directory::readiness(&gateway, request.uri().path()),
         Purpose::Directory => crate::directory::lookup(&gateway, request.uri().path()),
-        Purpose::Peers => crate::directory::for_peer(&gateway, request.uri().path()),
+        Purpose::Peers => crate::directory::for_peer(&gateway, request.uri(), request.headers()),
         Purpose::Metrics => crate::directory::metrics(&gateway, request.uri().path()),
     }
 }
--- a/crates/gateway/src/outbound.rs
+++ b/crates/gateway/src/outbound.rs
@@ -118,14 +118,27 @@
         request: Request<Full<Bytes>>,
         max_bytes: usize,
     ) -> Result<(StatusCode, Bytes), Failure> {
-        let response = self.send(request).await?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), max_bytes).collect().await;
+        let response = self.exchange_for_response(request, max_bytes).await?;
+        Ok((response.status(), response.into_body()))
+    }
+
+    /// Sends a request and reads the complete response like [`Self::exchange`]; returns it with its headers.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Self::exchange`].
+    pub(crate) async fn exchange_for_response(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        max_bytes: usize,
+    ) -> Result<Response<Bytes>, Failure> {
+        let (head, body) = self.send(request).await?.into_parts();
+        let body = Limited::new(body, max_bytes).collect().await;
         let body = body.map_err(|error| Failure::Broken {
             address: self.address,
             reason: error.to_string(),
         })?;
-        Ok((status, body.to_bytes()))
+        Ok(Response::from_parts(head, body.to_bytes()))
     }
 }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -40,8 +40,8 @@
     pub(crate) outbox_changed: Notify,
     /// Datagrams to broadcast at the next `outbox_changed`; if there are none, this host's own state is broadcast.
     pub(crate) outbox: RefCell<Vec<Datagram>>,
-    /// Store changes received from watchers.
-    pub(crate) updates: RefCell<Vec<Update>>,
+    /// Store changes received from watchers, with the watcher's address.
+    pub(crate) updates: RefCell<Vec<(SocketAddr, Update)>>,
     pub(crate) update_received: Notify,
     /// Wakes the evaluation of trials.
     trials_changed: Notify,
@@ -203,7 +203,7 @@
     }
 
     /// Waits for store changes from watchers.
-    pub(crate) async fn receive_updates(&self) -> Vec<Update> {
+    pub(crate) async fn receive_updates(&self) -> Vec<(SocketAddr, Update)> {
         loop {
             let updates = self.updates.take();
             if !updates.is_empty() {
--- a/crates/gateway/src/peers_runner.rs
+++ b/crates/gateway/src/peers_runner.rs
@@ -169,7 +169,7 @@
                 told: observation,
             } => self.gateway.merge_trial(from.as_str(), observation),
             Datagram::Feed(update) => {
-                self.peers().updates.borrow_mut().push(update);
+                self.peers().updates.borrow_mut().push((from, update));
                 self.peers().update_received.notify_one();
             }
             Datagram::Replaced { target, successor } => {
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -6,18 +6,14 @@
 use std::time::Duration;
 
 use hawthornpost_core::clock::Instant;
-use serde::{Deserialize, Serialize};
 
-use crate::call::{Bounds, Call};
-use crate::config::Config;
 use crate::duration::{millis, scale_by_hosts};
 use crate::event::Event;
 use crate::feed::{self, Freshness, Step, Update};
 use crate::gateway::Gateway;
-use crate::metric::{self, Direction};
 use crate::platform::{Change, Failure, Kind, Object, Platform};
 use crate::registry::Registry;
-use crate::target::Target;
+use crate::state_fetcher;
 
 /// The maximum duration of a watch at the store. Peers rely on a watcher's updates for little longer than this.
 const MAX_WATCH_WAIT: Duration = Duration::from_secs(1);
@@ -41,25 +37,10 @@
 const MAX_LAPSED_WATCH_WAIT: Duration = Duration::from_millis(400);
 /// The interval of requests to all peers at start.
 const START_FETCH_INTERVAL: Duration = Duration::from_millis(200);
-/// The bounds of a call to a peer. The largest response is a configuration or the list of all targets.
-const PEER_CALL_BOUNDS: Bounds = Bounds {
-    connect_timeout: Duration::from_millis(500),
-    total_timeout: Duration::from_millis(500),
-    max_bytes: 8 << 20,
-};
-
-/// The path of the configuration at a peer.
-pub(crate) const CONFIG_PATH: &str = "/v1/config";
-/// The path of the targets at a peer.
-pub(crate) const TARGETS_PATH: &str = "/v1/targets";
-
-/// The response of a peer with its targets.
-#[derive(Debug, Serialize, Deserialize)]
-pub(crate) struct Targets {
-    /// The store's revision.
-    pub revision: u64,
-    pub targets: Vec<Target>,
-}
+/// How long a newer configuration is requested from peers, before the store is asked for it.
+const MAX_CONFIG_FETCH_TIME: Duration = Duration::from_millis(600);
+/// The pause after a failed request for it. A peer that is sending state turns others away for about as long.
+const CONFIG_RETRY_DELAY: Duration = Duration::from_millis(40);
 
 /// The tasks that follow the store and peers.
 pub(crate) struct Synchronizer<P> {
@@ -225,11 +206,11 @@
     /// Applies the updates of watchers.
     async fn apply_updates(&self) {
         loop {
-            for update in self.gateway.peers().receive_updates().await {
+            for (from, update) in self.gateway.peers().receive_updates().await {
                 // Watchers send an update every second, also without changes, so this runs regularly.
                 self.registry.remove_overdue();
                 match update {
-                    Update::Config { version } => self.apply_config_update(version).await,
+                    Update::Config { version } => self.apply_config_update(from, version).await,
                     Update::Targets {
                         since,
                         revision,
@@ -248,12 +229,10 @@
         self.gateway.timer().sleep(max_delay.mul_f64(rand::random())).await;
     }
 
-    async fn apply_config_update(&self, version: u64) {
+    async fn apply_config_update(&self, from: SocketAddr, version: u64) {
         if version > self.gateway.config_version() {
             self.delay_fetch().await;
-            if let Some(address) = self.gateway.peers().with_newer_config(self.gateway.config_version()) {
-                fetch_config(&self.gateway, address).await;
-            }
+            self.fetch_config_version(from, version).await;
         }
         if version > self.gateway.config_version()
             && let Err(error) = self.list(Kind::Config).await
@@ -267,6 +246,28 @@
         }
     }
 
+    /// Requests the configuration from peers that have a newer one, or from the sender of the update, until this host has
+    /// the version or some time has passed.
+    async fn fetch_config_version(&self, from: SocketAddr, version: u64) {
+        let started = self.gateway.now();
+        while self.gateway.now().since(started) < MAX_CONFIG_FETCH_TIME {
+            let nearby = self.gateway.peers().with_newer_config(self.gateway.config_version());
+            self.fetch_config(nearby.unwrap_or(from)).await;
+            if self.gateway.config_version() >= version {
+                return;
+            }
+            let delay = CONFIG_RETRY_DELAY.mul_f64(0.5 + rand::random::<f64>());
+            self.gateway.timer().sleep(delay).await;
+        }
+    }
+
+    /// Fetches the configuration of a peer and activates it if it is newer.
+    async fn fetch_config(&self, address: SocketAddr) {
+        if let Err(error) = state_fetcher::fetch_config(&self.gateway, address).await {
+            log::debug!("cannot fetch the configuration of peer {address}: {error}");
+        }
+    }
+
     async fn apply_targets_update(&self, since: u64, revision: u64, changes: Vec<feed::Change>) {
         match Step::of(self.gateway.fleet_revision(), since, revision) {
             Step::Apply => {
@@ -293,8 +294,12 @@
 
     /// Fetches the targets of a peer and applies them if they are newer.
     async fn fetch_targets(&self, address: SocketAddr) {
-        let Some(fetched) = fetch::<Targets>(&self.gateway, address, Kind::Targets, TARGETS_PATH).await else {
-            return;
+        let fetched = match state_fetcher::fetch_targets(&self.gateway, address).await {
+            Ok(fetched) => fetched,
+            Err(error) => {
+                log::debug!("cannot fetch the targets of peer {address}: {error}");
+                return;
+            }
         };
         if fetched.revision <= self.gateway.fleet_revision() {
             return;
@@ -356,7 +361,7 @@
             self.gateway.timer().sleep(PEER_FETCH_DELAY).await;
             let version = self.gateway.config_version();
             if let Some(address) = self.gateway.peers().with_newer_config(version) {
-                fetch_config(&self.gateway, address).await;
+                self.fetch_config(address).await;
             }
             // While the store responds, its watch returns the changes of targets in order.
             if self.unavailable_since.get().is_some() {
@@ -374,7 +379,7 @@
             self.gateway.timer().sleep(START_FETCH_INTERVAL).await;
             for address in self.gateway.peers().fetch_addresses() {
                 if self.gateway.config_version() == 0 {
-                    fetch_config(&self.gateway, address).await;
+                    self.fetch_config(address).await;
                 }
                 if self.gateway.fleet_revision() == 0 {
                     self.fetch_targets(address).await;
@@ -402,34 +407,3 @@
         feed::Change::Gone(id) => Change::Deleted(id),
     }
 }
-
-async fn fetch_config(gateway: &Gateway, address: SocketAddr) {
-    if let Some(config) = fetch::<Config>(gateway, address, Kind::Config, CONFIG_PATH).await {
-        gateway.activate_config(config, "peer");
-    }
-}
-
-async fn fetch<T: for<'a> Deserialize<'a>>(
-    gateway: &Gateway,
-    address: SocketAddr,
-    kind: Kind,
-    path: &str,
-) -> Option<T> {
-    let started = gateway.now();
-    let response = Call::get(address, path).run(gateway.timer(), PEER_CALL_BOUNDS).await;
-    let body = response
-        .inspect_err(|error| log::debug!("cannot fetch {path} from peer {address}: {error}"))
-        .ok()?;
-    metric::record_transfer(kind, Direction::Fetched, body.len());
-    Event::StateFetched {
-        kind: kind.name(),
-        peer: &address.to_string(),
-        bytes: body.len(),
-        took_ms: millis(gateway.now().since(started)),
-        what: "state was fetched from a peer",
-    }
-    .log();
-    serde_json::from_slice(&body)
-        .inspect_err(|error| log::debug!("cannot decode {path} from peer {address}: {error}"))
-        .ok()
-}
