--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,8 @@
 //! | [`body`] | response bodies |
 //! | [`budget`] | retry budget, which all entry hosts share |
 //! | [`config`] | a version of the configuration |
+//! | [`config_delta`] | difference between two versions of the configuration |
+//! | [`config_history`] | recent changes of the configuration |
 //! | [`dialect`] | request and response headers of the platform |
 //! | [`event`] | numbered log events |
 //! | [`event_stream`] | parser of `text/event-stream` bodies |
@@ -32,6 +34,7 @@
 //! | [`rollouts`] | rollout orders known to a host, with their trials |
 //! | [`route`] | routing table: route and account of a request |
 //! | [`run`] | startup, signals, shutdown |
+//! | [`send_rate`] | limit of the rate at which state is sent to peers |
 //! | [`settings`] | settings file |
 //! | [`stall`] | detection of engines that send no data |
 //! | [`stall_timer`] | measurement of an engine's silence |
@@ -45,7 +48,10 @@
 pub mod body;
 pub mod budget;
 mod call;
+mod compression;
 pub mod config;
+pub mod config_delta;
+pub mod config_history;
 mod connection_guard;
 mod datagram;
 pub mod dialect;
@@ -65,6 +71,7 @@
 mod ingress;
 pub mod intake;
 mod job;
+mod list_delta;
 mod listener;
 pub mod load;
 pub mod load_report;
@@ -92,9 +99,12 @@
 pub mod route;
 pub mod run;
 mod screening;
+pub mod send_rate;
 pub mod settings;
 pub mod stall;
 pub mod stall_timer;
+mod state_fetcher;
+mod state_sender;
 mod stream;
 mod stream_attempt;
 pub mod stream_output;
--- a/crates/gateway/src/outbound.rs
+++ b/crates/gateway/src/outbound.rs
@@ -189,11 +189,24 @@
         request: Request<Full<Bytes>>,
         max_bytes: usize,
     ) -> Result<(StatusCode, Bytes), Failure> {
+        let response = self.exchange_for_response(request, max_bytes).await?;
+        Ok((response.status(), response.into_body()))
+    }
+
+    /// Sends a request and reads the complete response like [`Self::exchange`]; returns it with its headers.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Self::exchange`].
+    pub(crate) async fn exchange_for_response(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        max_bytes: usize,
+    ) -> Result<Response<Bytes>, Failure> {
         self.set_limits(Limits::size(max_bytes));
-        let response = self.send(request).await?;
-        let status = response.status();
-        let body = self.read(response.into_body(), |_bytes| Ok(())).await?;
-        Ok((status, body))
+        let (head, body) = self.send(request).await?.into_parts();
+        let body = self.read(body, |_bytes| Ok(())).await?;
+        Ok(Response::from_parts(head, body))
     }
 }
 
