Tell other hosts of a trial in a small message

Cause: the host that tries a request told 85 others all its evidence, several KB each. Hosts heard of it late or not at all. Besides, five crashes of which some were simultaneous counted as possible coincidence.

A trial is now told in less than 500 bytes, without evidence, and evidence is weak only if it names no more than three engines.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -144,6 +144,18 @@
         })
     }
 
+    /// Returns the message for all other hosts that a request with a part is tried.
+    pub fn trial(&self, now: Instant, part: &Part) -> Snapshot {
+        let evidence = self.evidence.get(part);
+        Snapshot {
+            records: evidence
+                .map(|evidence| evidence.trial_record(now, part))
+                .into_iter()
+                .collect(),
+            cleared: Vec::new(),
+        }
+    }
+
     /// Adds the evidence of another host.
     pub fn merge(&mut self, now: Instant, snapshot: &Snapshot) {
         for (part, age) in &snapshot.cleared {
--- a/crates/gateway/src/quarantine_evidence.rs
+++ b/crates/gateway/src/quarantine_evidence.rs
@@ -141,7 +141,7 @@
 
     /// Returns whether the crashes are just enough, so that a coincidence is not excluded.
     pub(crate) fn is_weak(&self) -> bool {
-        self.crashes() <= MIN_CRASHES
+        self.engines().len() <= MIN_CRASHES
     }
 
     /// Returns whether a request waited at so many crashes that it is their likely cause. It is at one engine at a time, so
@@ -175,6 +175,14 @@
         }
     }
 
+    /// Encodes only the trial, in a message that is small enough for all hosts at once.
+    pub(crate) fn trial_record(&self, now: Instant, part: &Part) -> Record {
+        Record {
+            crashes: Vec::new(),
+            ..self.record(now, part)
+        }
+    }
+
     /// Adds what another host knows.
     pub(crate) fn merge(&mut self, now: Instant, record: &Record) {
         let at = |age: Duration| Instant::from_start(now.since_start().saturating_sub(age));
--- a/crates/gateway/src/quarantine_shared.rs
+++ b/crates/gateway/src/quarantine_shared.rs
@@ -57,6 +57,10 @@
         self.state.borrow_mut().snapshot(now + CLOCK_OFFSET)
     }
 
+    pub(crate) fn trial(&self, now: Instant, part: &Part) -> Snapshot {
+        self.state.borrow().trial(now + CLOCK_OFFSET, part)
+    }
+
     pub(crate) fn dump(&self, now: Instant) -> Value {
         self.state.borrow().dump(now + CLOCK_OFFSET)
     }
--- a/crates/gateway/src/screening.rs
+++ b/crates/gateway/src/screening.rs
@@ -62,7 +62,8 @@
             Verdict::Allowed => true,
             Verdict::Trial(part) => {
                 self.is_trial.set(true);
-                self.share_evidence();
+                let trial = self.gateway.quarantine().trial(self.gateway.now(), &part);
+                self.gateway.peers().broadcast(Datagram::Quarantine(trial));
                 self.log_decision(
                     &part,
                     "a single request is sent to find out whether the part still crashes engines",
@@ -135,18 +136,10 @@
         let parts = self.parts.clone();
         self.gateway.peers().broadcast(Datagram::Crash { crash, parts });
         if quarantine.quarantined(&self.request, &self.parts).is_some() {
-            self.share_evidence();
             self.gateway.timer().sleep(EXPLANATION_DELAY).await;
         }
     }
 
-    /// Sends all evidence to the other hosts at once.
-    fn share_evidence(&self) {
-        if let Some(snapshot) = self.gateway.quarantine().snapshot(self.gateway.now()) {
-            self.gateway.peers().broadcast(Datagram::Quarantine(snapshot));
-        }
-    }
-
     fn log_crash(&self, target: &Target) {
         let parts = self.parts.iter().map(Part::to_string).collect::<Vec<_>>();
         Event::EngineCrashed {
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -143,7 +143,9 @@
     second.merge(at(4000), &first.snapshot(at(4000)).expect("evidence"));
     let prompt = parts(&["first", DEADLY]);
     assert!(matches!(first.admit(at(40_000), "r", &prompt), Verdict::Trial(_)));
-    second.merge(at(40_010), &first.snapshot(at(40_010)).expect("evidence"));
+    let notice = first.trial(at(40_010), &Part::new(DEADLY).expect("an id"));
+    assert!(serde_json::to_vec(&notice).is_ok_and(|bytes| bytes.len() < 500));
+    second.merge(at(40_010), &notice);
     assert!(matches!(second.admit(at(40_020), "r", &prompt), Verdict::Refused(_)));
 }
 
@@ -173,6 +175,15 @@
     ));
 }
 
+/// Guards against early trials of a part that crashed many engines within a short time.
+#[test]
+fn many_simultaneous_crashes_are_no_coincidence() {
+    let mut quarantine = after_crashes(3);
+    let prompt = parts(&["first", DEADLY]);
+    quarantine.record_crash(at(2010), &crash(7, "r-7"), &prompt);
+    assert!(matches!(quarantine.admit(at(9000), "r", &prompt), Verdict::Refused(_)));
+}
+
 /// Guards against callers that keep a part quarantined for good by sending it again and again.
 #[test]
 fn a_request_is_tried_at_last_although_requests_keep_coming() {
