--- a/crates/gateway/src/quarantine_evidence.rs
+++ b/crates/gateway/src/quarantine_evidence.rs
@@ -49,7 +49,7 @@
     pub crashed_at: Instant,
 }
 
-/// [`Evidence`] for another host; times are ages, because clocks of different hosts are not comparable.
+/// The evidence against a part, for another host; times are ages, because clocks of different hosts are not comparable.
 #[serde_as]
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Record {
