--- a/crates/gateway/src/outbound.rs
+++ b/crates/gateway/src/outbound.rs
@@ -1,6 +1,7 @@
 //! Client connections to targets, the store and peers.
 
 use std::fmt;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -31,6 +32,12 @@
         /// The error.
         reason: String,
     },
+    /// The connection was refused, so nothing was sent.
+    #[error("cannot connect to {address}: the connection was refused; check that the process is running")]
+    Refused {
+        /// The address.
+        address: SocketAddr,
+    },
     /// There was no response to the connection attempt, so nothing was sent.
     #[error("cannot connect to {address}: no response within {limit:?}; check that its host and the network are up")]
     ConnectTimeout {
@@ -84,7 +91,7 @@
     ///
     /// # Errors
     ///
-    /// Fails with [`Failure::Connect`] or [`Failure::ConnectTimeout`].
+    /// Fails with [`Failure::Connect`], [`Failure::Refused`] or [`Failure::ConnectTimeout`].
     pub async fn open(address: SocketAddr, connect_timeout: Duration) -> Result<Self, Failure> {
         let failed = |reason: String| Failure::Connect { address, reason };
         let connected = timeout(connect_timeout, TcpStream::connect(address)).await;
@@ -93,7 +100,10 @@
                 address,
                 limit: connect_timeout,
             })?
-            .map_err(|error| failed(error.to_string()))?;
+            .map_err(|error| match error.kind() {
+                ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => Failure::Refused { address },
+                _ => failed(error.to_string()),
+            })?;
         stream.set_nodelay(true).map_err(|error| failed(error.to_string()))?;
         let (stream, meter) = Stream::new(stream);
         let handshake = http1::Builder::new()
--- a/crates/gateway/src/reachability.rs
+++ b/crates/gateway/src/reachability.rs
@@ -1,8 +1,10 @@
-//! Tells an unreachable engine from a slow or broken link of this host.
+//! Tells an unreachable target from a slow or broken link of this host.
 //!
 //! A bulk transfer on this host's link delays the packets of all connections. A probe then gets no response in time,
-//! although the engine works. Hosts in other data centres, which are probed for comparison, do not respond either.
+//! although the target works. Other hosts, which are probed for comparison, do not respond either.
 
+use std::future::pending;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -56,20 +58,20 @@
     }
 }
 
-/// Records a failed connection attempt. A target that did not respond in time becomes suspect only when other hosts
-/// respond, because the suspicion is reported to all entry hosts.
+/// Records a failed connection attempt. A target that refused becomes suspect at once. One that did not respond is probed
+/// again together with other hosts, because its suspicion is reported to all entry hosts.
 pub(crate) fn record_connect_failure(gateway: &Rc<Gateway>, target: &Rc<Target>, failure: &Failure) {
     const REASON: &str = "cannot connect";
-    if !matches!(failure, Failure::ConnectTimeout { .. }) {
+    if matches!(failure, Failure::Refused { .. }) {
         gateway.suspect(target, REASON);
         return;
     }
     let (gateway, target) = (Rc::clone(gateway), Rc::clone(target));
     tokio::task::spawn_local(async move {
-        let references = references(&gateway, &target);
-        match timeout(PROBE_TIMEOUT, first_response(&references)).await {
-            Ok(()) => gateway.suspect(&target, REASON),
-            Err(_elapsed) => log_suspected_link(&target),
+        match probe(&gateway, &target).await {
+            Finding::Reachable => {}
+            Finding::Unreachable => gateway.suspect(&target, REASON),
+            Finding::Inconclusive => log_suspected_link(&target),
         }
     });
 }
@@ -79,16 +81,22 @@
     Event::LinkSuspected {
         target: &target.id,
         data_centre: &target.data_centre,
-        what: "an engine's host does not respond, and other hosts do not respond either; the link of this host may be slow",
+        what: "a target's host does not respond, and other hosts do not respond either; the link of this host may be slow",
     }
     .log();
 }
 
 /// Waits for a response to a connection attempt. A refused connection counts as a response: a draining server accepts no
-/// new connections, and one that has exited resets its existing ones.
+/// new connections, and one that has exited resets its existing ones. An error of this host is not a response.
 async fn connect(address: SocketAddr) {
-    // Both outcomes are responses of the host.
-    let _connected = TcpStream::connect(address).await;
+    let error = match TcpStream::connect(address).await {
+        Ok(_connection) => return,
+        Err(error) => error,
+    };
+    if !matches!(error.kind(), ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset) {
+        log::debug!("cannot probe {address}: {error}");
+        pending::<()>().await;
+    }
 }
 
 /// Waits for the first response of the references. Without any, the failure of the target is all that is known, which
@@ -105,7 +113,10 @@
 fn references(gateway: &Gateway, target: &Target) -> Vec<SocketAddr> {
     let peer = gateway.peers().reference_address(&target.data_centre);
     let fleet = gateway.fleet().borrow();
-    let others = fleet.targets().filter(|other| other.data_centre != target.data_centre);
-    let other = others.choose(&mut rand::rng()).map(|other| other.address);
-    peer.into_iter().chain(other).collect()
+    let others = || fleet.targets().filter(|other| other.id != target.id);
+    let outside = others().filter(|other| other.data_centre != target.data_centre);
+    let other = outside
+        .choose(&mut rand::rng())
+        .or_else(|| others().choose(&mut rand::rng()));
+    peer.into_iter().chain(other.map(|other| other.address)).collect()
 }
