--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,5 +1,7 @@
 //! Requests to plain services: chooses targets, retries where that is safe, and buffers the response.
 
+use std::cell::Cell;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -61,6 +63,7 @@
         executions: 0,
         attempts: 0,
         target: String::new(),
+        is_retry_reserved: Cell::default(),
         error_response: None,
         is_finished: false,
     };
@@ -78,6 +81,8 @@
     attempts: u32,
     /// The id of the target of the latest attempt.
     target: String,
+    /// Whether the next retry is taken from the budget already.
+    is_retry_reserved: Cell<bool>,
     /// An error response of a target, which is passed on if no attempt succeeds.
     error_response: Option<(Box<Parts>, Bytes)>,
     is_finished: bool,
@@ -156,7 +161,30 @@
         self.job.route.kind == Kind::Idempotent
             && self.executions < self.job.route.max_attempts
             && !self.job.time_left(self.gateway).is_zero()
-            && self.gateway.try_retry(&self.job.service)
+            && (self.is_retry_reserved.take() || self.gateway.try_retry(&self.job.service))
+    }
+
+    /// Returns whether a slow target may be given up, and reserves the retry at another one for that. Without another
+    /// target or a retry, its late response is better than none.
+    fn may_give_up(&self, target: &Target) -> bool {
+        if self.job.time_left(self.gateway).is_zero() {
+            return true;
+        }
+        let mut excluded = self.excluded.clone();
+        excluded.push(target.id.clone());
+        let criteria = Criteria {
+            service: &self.job.service,
+            versions: &self.gateway.stable_versions(&self.job.service),
+            excluded: &excluded,
+        };
+        let other = self
+            .gateway
+            .fleet()
+            .borrow_mut()
+            .choose_call(self.gateway.now(), criteria);
+        let may_give_up = other.is_some() && self.gateway.try_retry(&self.job.service);
+        self.is_retry_reserved.set(may_give_up);
+        may_give_up
     }
 
     async fn attempt(&self, target: &Rc<Target>) -> Outcome {
@@ -181,8 +209,13 @@
             };
         }
         let limit = shorter(time_left, self.attempt_timeout());
-        let exchange = self.exchange(&mut connection, target, time_left);
-        match self.gateway.timer().timeout(limit, exchange).await {
+        let mut exchange = pin!(self.exchange(&mut connection, target, time_left));
+        let timer = self.gateway.timer();
+        let mut response = timer.timeout(limit, exchange.as_mut()).await;
+        if response.is_none() && !self.may_give_up(target) {
+            response = timer.timeout(self.job.time_left(self.gateway), exchange).await;
+        }
+        match response {
             Some(Ok((head, body))) => self.classify(target, head, body),
             Some(Err(failure)) => {
                 self.record_outcome(target, true);
