--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -94,12 +94,14 @@
                 }
                 outcome = attempt.run(&mut self.stream) => outcome,
             };
+            let mut is_retry_free = false;
             let took_ms = millis(self.stream.gateway.now().since(sent));
             let target = &attempt.target;
             match outcome {
                 Outcome::Completed => return self.finish(target).await,
                 Outcome::Other(response) => return self.respond(response),
-                Outcome::NotRun(reason) => {
+                Outcome::NotRun { reason, was_received } => {
+                    is_retry_free = !was_received;
                     self.stream.wait = None;
                     self.log_failure(target, &reason, "no", took_ms);
                     if attempt.backup.is_none() {
@@ -129,7 +131,7 @@
                 }
             }
             let stream = &mut self.stream;
-            if let Some(reason) = stream.retries.reason_to_stop(&stream.gateway, &stream.job) {
+            if let Some(reason) = stream.retries.next(&stream.gateway, &stream.job, is_retry_free) {
                 return self.give_up(reason);
             }
         }
--- a/crates/gateway/src/stream_attempt.rs
+++ b/crates/gateway/src/stream_attempt.rs
@@ -31,6 +31,8 @@
 
 /// The connect timeout for an engine.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+/// How long a stream that cannot be resumed waits for an unreachable engine.
+const MAX_UNREACHABLE: Duration = Duration::from_millis(1500);
 /// The maximum size of an event.
 const MAX_EVENT_BYTES: usize = 64 << 10;
 
@@ -39,7 +41,11 @@
     /// The stream is complete.
     Completed,
     /// The engine did not run the request.
-    NotRun(String),
+    NotRun {
+        reason: String,
+        /// Whether the engine received the request.
+        was_received: bool,
+    },
     /// The engine failed; the stream can be resumed at another engine from its last event.
     Broken {
         reason: String,
@@ -78,7 +84,10 @@
             Ok(connection) => connection,
             Err(error) => {
                 reachability::record_connect_failure(&stream.gateway, target, &error);
-                return Outcome::NotRun(error.to_string());
+                return Outcome::NotRun {
+                    reason: error.to_string(),
+                    was_received: false,
+                };
             }
         };
         let dispatch = Dispatch {
@@ -115,7 +124,12 @@
         let (head, body) = response.into_parts();
         match reply::check(&stream.gateway, target, &id, &head) {
             Verdict::Valid => {}
-            Verdict::NotRun(reason) => return Outcome::NotRun(reason),
+            Verdict::NotRun(reason) => {
+                return Outcome::NotRun {
+                    reason,
+                    was_received: true,
+                };
+            }
             Verdict::Invalid => {
                 return broken(
                     stream,
@@ -131,7 +145,8 @@
             .await
     }
 
-    /// Waits for data of the engine. A slow engine is given up only if the stream may be resumed at another one.
+    /// Waits for data of the engine. A silent engine is given up only if the stream may be resumed at another one, or
+    /// when it has been unreachable for [`MAX_UNREACHABLE`].
     async fn wait<T>(
         &self,
         stream: &mut Progress,
@@ -139,13 +154,19 @@
         data: impl Future<Output = T>,
     ) -> Result<T, Stall> {
         let mut data = std::pin::pin!(data);
+        let started = stream.gateway.now();
         loop {
             let remaining = stream.job.time_left(&stream.gateway);
             let result = watchdog
                 .watch(&stream.gateway, &self.target, remaining, data.as_mut())
                 .await;
             match result {
-                Err(Stall::Slow) if !stream.may_give_up(&self.target) => {}
+                Err(stall) if !stream.may_give_up(&self.target) => {
+                    let silence = stream.gateway.now().since(started);
+                    if stall == Stall::Unreachable && silence >= MAX_UNREACHABLE {
+                        return Err(stall);
+                    }
+                }
                 result => return result,
             }
         }
--- a/crates/gateway/src/stream_progress.rs
+++ b/crates/gateway/src/stream_progress.rs
@@ -88,17 +88,24 @@
         self.job.route.resumable && self.has_alternative(target) && self.retries.try_reserve(&self.gateway, &self.job)
     }
 
-    /// Returns whether another engine than the current one could run the stream.
+    /// Returns whether another engine than the current one holds a copy of the stream, or could run it and is not suspect.
     fn has_alternative(&self, target: &Target) -> bool {
-        let mut excluded = self.excluded.clone();
-        excluded.push(target.id.clone());
+        let now = self.gateway.now();
+        let mut fleet = self.gateway.fleet().borrow_mut();
+        if self
+            .backup
+            .as_ref()
+            .is_some_and(|backup| fleet.is_usable(now, &backup.target.id))
+        {
+            return true;
+        }
         let criteria = Criteria {
             service: &self.job.service,
             versions: &self.gateway.stable_versions(&self.job.service),
-            excluded: &excluded,
+            excluded: std::slice::from_ref(&target.id),
         };
-        let mut fleet = self.gateway.fleet().borrow_mut();
-        fleet.choose_stream(self.gateway.now(), criteria, self.need()).is_some()
+        let other = fleet.choose_stream(now, criteria, self.need());
+        other.is_some_and(|other| !fleet.is_suspect(now, &other.id))
     }
 
     /// Starts a new copy of the run if its backup has failed.
--- a/crates/gateway/src/stream_retries.rs
+++ b/crates/gateway/src/stream_retries.rs
@@ -36,9 +36,9 @@
         self.is_reserved
     }
 
-    /// Returns why the stream must not be retried; otherwise takes a retry from the budget, unless one is reserved, and
-    /// returns `None`.
-    pub(crate) fn reason_to_stop(&mut self, gateway: &Gateway, job: &Job) -> Option<&'static str> {
+    /// Takes a retry from the budget, unless one is reserved or the last attempt did not reach its engine. Returns why the
+    /// stream must not be retried if there is none.
+    pub(crate) fn next(&mut self, gateway: &Gateway, job: &Job, is_free: bool) -> Option<&'static str> {
         if self.counted_runs >= job.route.max_attempts.max(1) {
             return Some("the attempt limit of the route is reached");
         }
@@ -48,7 +48,7 @@
         if job.time_left(gateway).is_zero() {
             return Some("the deadline has passed");
         }
-        let is_granted = std::mem::take(&mut self.is_reserved) || gateway.try_retry(&job.service);
+        let is_granted = is_free || std::mem::take(&mut self.is_reserved) || gateway.try_retry(&job.service);
         (!is_granted).then_some("the retry budget is exhausted")
     }
 }
