--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -19,6 +19,7 @@
 use crate::fleet::Criteria;
 use crate::gateway::Gateway;
 use crate::headers;
+use crate::intake::Limits;
 use crate::job::Job;
 use crate::load::Load;
 use crate::outbound::{Connection, Failure};
@@ -254,6 +255,7 @@
             last_event: None,
         };
         let request = self.job.request(self.gateway, &dispatch);
+        connection.set_limits(Limits::response(self.gateway.limits().response_bytes));
         let (head, body) = connection.send(request).await?.into_parts();
         let mut share = self.gateway.response_memory().share();
         let body = connection.read(body, |bytes| share.grow_to(bytes)).await?;
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -21,8 +21,8 @@
 const MAX_HEAD_BYTES: usize = 64 << 10;
 /// The maximum time from the first byte of a response to the end of its head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(2);
-/// The maximum size of the response of a plain service.
-const MAX_RESPONSE_BYTES: usize = 512 << 10;
+/// The default maximum size of the response of a plain service.
+pub const DEFAULT_RESPONSE_BYTES: usize = 512 << 10;
 /// The maximum time from the first byte of the response of a plain service to its last byte.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
 /// The bytes of a stream in addition to those of its tokens.
@@ -79,11 +79,13 @@
 }
 
 impl Limits {
-    /// The limits of a response of a plain service.
-    pub(crate) const RESPONSE: Self = Self {
-        bytes: MAX_RESPONSE_BYTES,
-        timeout: Some(RESPONSE_TIMEOUT),
-    };
+    /// Returns the limits of a response of a plain service with a maximum size.
+    pub(crate) fn response(bytes: usize) -> Self {
+        Self {
+            bytes,
+            timeout: Some(RESPONSE_TIMEOUT),
+        }
+    }
 
     /// Returns the limits of a stream with a maximum number of tokens.
     pub(crate) fn stream(tokens: u64) -> Self {
@@ -130,7 +132,7 @@
 impl Meter {
     fn new() -> Self {
         Self {
-            limits: Cell::new(Limits::RESPONSE),
+            limits: Cell::new(Limits::response(DEFAULT_RESPONSE_BYTES)),
             has_head: Cell::default(),
             bytes: Cell::default(),
             first_at: Cell::default(),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -9,6 +9,7 @@
 
 use crate::budget::Allowance;
 use crate::error::{Kind, Result};
+use crate::intake;
 use crate::trial::Exposure;
 
 const ADDRESS: &str = "an address such as 127.0.0.1:8080";
@@ -90,6 +91,8 @@
     pub retries: Allowance,
     /// The maximum total size of buffered request bodies in bytes.
     pub request_bytes: usize,
+    /// The maximum size of the response of a plain service in bytes.
+    pub response_bytes: usize,
 }
 
 /// Section `[log]`.
@@ -189,6 +192,7 @@
         address_lifetime: seconds(&mut section, "address_lifetime_s", 5.0)?,
         retries,
         request_bytes: section.default("request_bytes", "a number of bytes", 64 << 20)?,
+        response_bytes: section.default("response_bytes", "a number of bytes", intake::DEFAULT_RESPONSE_BYTES)?,
     };
     section.finish()?;
     Ok(limits)
--- a/crates/gateway/src/stream_attempt.rs
+++ b/crates/gateway/src/stream_attempt.rs
@@ -305,7 +305,7 @@
             let reason = format!("the engine responded with status {}", head.status.as_u16());
             return broken(stream, reason, sent);
         }
-        connection.set_limits(Limits::RESPONSE);
+        connection.set_limits(Limits::response(stream.gateway.limits().response_bytes));
         let mut share = stream.gateway.response_memory().share();
         let body = connection.read(body, |bytes| share.grow_to(bytes));
         let time_left = stream.job.time_left(&stream.gateway);
