--- a/crates/gateway/src/stall_timer.rs
+++ b/crates/gateway/src/stall_timer.rs
@@ -35,7 +35,7 @@
     }
 
     /// Applies the finding of a probe and returns the stall that it proves. Silence while no host responds says nothing
-    /// about the engine and is not counted, up to [`MAX_INCONCLUSIVE`].
+    /// about the engine and is not counted, for three seconds at most.
     pub fn record(&mut self, now: Instant, finding: Finding) -> Option<Stall> {
         match finding {
             Finding::Reachable => None,
