--- a/crates/gateway/src/quarantine_evidence.rs
+++ b/crates/gateway/src/quarantine_evidence.rs
@@ -152,10 +152,12 @@
         engines.len() >= MIN_CRASHES_OF_ONE_REQUEST
     }
 
-    /// Returns whether this part was at all crashes of another one, and at more.
+    /// Returns whether this part was at all crashes of another one, and at more, or at as many while its requests always
+    /// had the other part as well: then requests with the other part alone are not the cause.
     pub(crate) fn explains(&self, other: &Self) -> bool {
-        let engines = self.engines();
-        self.crashes() > other.crashes() && other.engines().is_subset(&engines)
+        let (own, others) = (self.crashes(), other.crashes());
+        let is_narrower = other.context.len() < self.context.len() && other.context.is_subset(&self.context);
+        (own > others || own == others && is_narrower) && other.engines().is_subset(&self.engines())
     }
 
     fn engines(&self) -> BTreeSet<&str> {
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -59,6 +59,17 @@
     assert!(!is_refused(&quarantine, &["first", "other"]));
 }
 
+/// Guards against sound requests that are refused because one of them waited at an engine that a request with the same
+/// first part crashed: then the first part was at as many crashes as the deadly one.
+#[test]
+fn a_bystander_with_the_same_first_part_is_allowed() {
+    let mut quarantine = after_crashes(3);
+    quarantine.record_crash(at(1000), &crash(1, "bystander"), &parts(&["first"]));
+    assert!(!is_refused(&quarantine, &["first"]));
+    assert!(!is_refused(&quarantine, &["first", "other"]));
+    assert!(is_refused(&quarantine, &["first", DEADLY]));
+}
+
 /// Guards against a deadly part that escapes in a request with another first part after the first parts were cleared.
 #[test]
 fn a_cleared_part_leaves_the_others_suspected() {
