--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -46,8 +46,8 @@
 pub enum Verdict {
     /// No part is quarantined.
     Allowed,
-    /// The request is let through to find out whether the part still crashes engines.
-    Trial(Part),
+    /// The request is let through to find out whether these parts still crash engines.
+    Trial(Parts),
     /// The part is quarantined.
     Refused(Part),
 }
@@ -91,14 +91,19 @@
 
     /// Returns the part because of which a request must not be sent; `request` is [`Crash::request`].
     pub fn quarantined(&self, request: &str, parts: &Parts) -> Option<Part> {
-        let is_guilty = |part: &&Part| {
+        self.guilty(request, parts).next().cloned()
+    }
+
+    /// Returns the parts because of which a request must not be sent.
+    fn guilty<'a>(&'a self, request: &'a str, parts: &'a Parts) -> impl Iterator<Item = &'a Part> {
+        let is_guilty = move |part: &&Part| {
             self.evidence.get(part).is_some_and(|evidence| {
                 evidence.is_sufficient(request)
                     && evidence.context.is_subset(parts)
                     && !self.has_better_explanation(evidence)
             })
         };
-        parts.iter().find(is_guilty).cloned()
+        parts.iter().filter(is_guilty)
     }
 
     fn has_better_explanation(&self, evidence: &Evidence) -> bool {
@@ -109,23 +114,40 @@
         others.any(|(_, other)| other.explains(evidence))
     }
 
-    /// Decides about a request before it is sent, and records the decision.
+    /// Decides about a request before it is sent, and records the decision. A request is let through only when a trial of
+    /// each of its quarantined parts is due.
     pub fn admit(&mut self, now: Instant, request: &str, parts: &Parts) -> Verdict {
-        let Some(part) = self.quarantined(request, parts) else {
-            return Verdict::Allowed;
-        };
-        let Some(evidence) = self.evidence.get_mut(&part) else {
-            return Verdict::Allowed;
+        let guilty = self.guilty(request, parts).cloned().collect::<Parts>();
+        let mut refused = None;
+        for part in &guilty {
+            if !self.is_trial_due(now, part) {
+                refused = Some(part.clone());
+            }
+        }
+        for part in &guilty {
+            let Some(evidence) = self.evidence.get_mut(part) else {
+                continue;
+            };
+            match refused {
+                Some(_) => evidence.refused_at = Some(now),
+                None => evidence.trial_at = Some(now),
+            }
+        }
+        match refused {
+            Some(part) => Verdict::Refused(part),
+            None if guilty.is_empty() => Verdict::Allowed,
+            None => Verdict::Trial(guilty),
+        }
+    }
+
+    fn is_trial_due(&self, now: Instant, part: &Part) -> bool {
+        let Some(evidence) = self.evidence.get(part) else {
+            return true;
         };
         let last_crash = Some(evidence.crashed_at).max(evidence.trial_at).unwrap_or_default();
         let last_request = Some(last_crash).max(evidence.refused_at).unwrap_or_default();
         let max_period = if evidence.is_weak() { WEAK_PERIOD } else { MAX_PERIOD };
-        if now.since(last_request) >= QUIET_PERIOD || now.since(last_crash) >= max_period {
-            evidence.trial_at = Some(now);
-            return Verdict::Trial(part);
-        }
-        evidence.refused_at = Some(now);
-        Verdict::Refused(part)
+        now.since(last_request) >= QUIET_PERIOD || now.since(last_crash) >= max_period
     }
 
     /// Returns the evidence for other hosts; `None` if there is none.
--- a/crates/gateway/src/screening.rs
+++ b/crates/gateway/src/screening.rs
@@ -60,14 +60,16 @@
             .admit(self.gateway.now(), &self.request, &self.parts)
         {
             Verdict::Allowed => true,
-            Verdict::Trial(part) => {
+            Verdict::Trial(parts) => {
                 self.is_trial.set(true);
-                let trial = self.gateway.quarantine().trial(self.gateway.now(), &part);
-                self.gateway.peers().broadcast(Datagram::Quarantine(trial));
-                self.log_decision(
-                    &part,
-                    "a single request is sent to find out whether the part still crashes engines",
-                );
+                for part in &parts {
+                    let trial = self.gateway.quarantine().trial(self.gateway.now(), part);
+                    self.gateway.peers().broadcast(Datagram::Quarantine(trial));
+                    self.log_decision(
+                        part,
+                        "a single request is sent to find out whether the part still crashes engines",
+                    );
+                }
                 true
             }
             Verdict::Refused(part) => {
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -70,6 +70,22 @@
     assert!(is_refused(&quarantine, &["first", DEADLY]));
 }
 
+/// Guards against a deadly request that is tried because the trial of its other part is due.
+#[test]
+fn a_request_with_two_quarantined_parts_is_tried_only_when_both_are_due() {
+    let mut quarantine = Quarantine::default();
+    for index in 0..8 {
+        let (part, time) = if index < 4 { ("early", 0) } else { (DEADLY, 28_000) };
+        let request = format!("r-{index}");
+        let at = at(time + index * 1000);
+        quarantine.record_crash(at, &crash(index, &request), &parts(&[part]));
+    }
+    let both = parts(&["early", DEADLY]);
+    assert!(matches!(quarantine.admit(at(40_000), "r", &both), Verdict::Refused(_)));
+    assert!(matches!(quarantine.admit(at(80_000), "r", &both), Verdict::Trial(_)));
+    assert!(matches!(quarantine.admit(at(80_001), "r", &both), Verdict::Refused(_)));
+}
+
 /// Guards against a deadly part that escapes in a request with another first part after the first parts were cleared.
 #[test]
 fn a_cleared_part_leaves_the_others_suspected() {
