--- a/crates/gateway/src/outbound.rs
+++ b/crates/gateway/src/outbound.rs
@@ -234,10 +234,10 @@
     }
 }
 
-/// Returns whether a new connection to an address is established within a timeout.
-pub(crate) async fn accepts_connections(address: SocketAddr, connect_timeout: Duration) -> bool {
+/// Returns whether a new connection to an address is refused within a timeout.
+pub(crate) async fn refuses_connections(address: SocketAddr, connect_timeout: Duration) -> bool {
     let connected = timeout(connect_timeout, TcpStream::connect(address)).await;
-    connected.is_ok_and(|result| result.is_ok())
+    connected.is_ok_and(|result| result.is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused))
 }
 
 /// Formats an error with the chain of its sources.
--- a/crates/gateway/src/screening.rs
+++ b/crates/gateway/src/screening.rs
@@ -103,7 +103,8 @@
 
     /// Checks whether the engine that closed the connection has crashed, and records it.
     ///
-    /// An engine that accepts new connections has only reset this one. One that leaves, or is not listed any more, has
+    /// An engine that accepts new connections has only reset this one. One whose host does not respond may be cut off, or
+    /// the link of this host is slow. One that leaves, or is not listed any more, has
     /// ended as planned.
     pub(crate) async fn record_disconnect(&self, target: &Rc<Target>) {
         if self.has_begun.get() {
@@ -119,7 +120,7 @@
     async fn check_crash(&self, target: &Target) -> bool {
         let is_listed = |listed: &Rc<Target>| listed.is_same_incarnation(target) && !listed.is_leaving;
         if !self.gateway.fleet().borrow().get(&target.id).is_some_and(is_listed)
-            || outbound::accepts_connections(target.address, CRASH_CHECK_TIMEOUT).await
+            || !outbound::refuses_connections(target.address, CRASH_CHECK_TIMEOUT).await
         {
             return false;
         }
