--- a/crates/gateway/src/screening.rs
+++ b/crates/gateway/src/screening.rs
@@ -81,11 +81,15 @@
 
     /// Waits until the request must not run, although it was sent; forever once an engine has begun to answer it.
     pub(crate) async fn revoked(self) {
-        let part = self
-            .gateway
-            .quarantine()
-            .wait_quarantined(&self.request, &self.parts)
-            .await;
+        let quarantine = self.gateway.quarantine();
+        let part = loop {
+            quarantine.wait_quarantined(&self.request, &self.parts).await;
+            // The message that explains the crashes otherwise may be on its way.
+            self.gateway.timer().sleep(EXPLANATION_DELAY).await;
+            if let Some(part) = quarantine.quarantined(&self.request, &self.parts) {
+                break part;
+            }
+        };
         if self.has_begun.get() || self.is_trial.get() {
             std::future::pending::<()>().await;
         }
