--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,5 +1,9 @@
 //! Shared state of a gateway process.
 
+mod admission;
+mod body_bytes;
+mod reservation;
+
 use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::rc::Rc;
@@ -31,6 +35,10 @@
 use crate::trial::{Observation, Outcome};
 use crate::versions::Versions;
 
+pub use admission::Admission;
+pub use body_bytes::BodyBytes;
+pub use reservation::Reservation;
+
 /// How long a replaced target is kept for a successor lookup, in case the store turns out to be unreachable.
 const REPLACED_TTL: Duration = Duration::from_secs(5);
 
@@ -74,27 +82,6 @@
     Ending,
 }
 
-/// Guard that counts an open request until it is dropped.
-#[derive(Debug)]
-pub struct Admission {
-    gateway: Rc<Gateway>,
-}
-
-/// Guard that accounts for the load of a request at a target until it is dropped.
-#[derive(Debug)]
-pub struct Reservation {
-    gateway: Rc<Gateway>,
-    target: String,
-    load: Load,
-}
-
-/// Guard that counts the bytes of a buffered request body until it is dropped.
-#[derive(Debug)]
-pub struct BodyBytes {
-    gateway: Rc<Gateway>,
-    bytes: usize,
-}
-
 impl Gateway {
     /// Creates the state of a process that has no configuration and no targets yet.
     pub fn new(settings: Settings, dialect: impl Dialect + 'static) -> Rc<Self> {
@@ -494,48 +481,3 @@
             .finish_non_exhaustive()
     }
 }
-
-impl Drop for Admission {
-    fn drop(&mut self) {
-        self.gateway.open_requests.set(self.gateway.open_requests.get() - 1);
-    }
-}
-
-impl Reservation {
-    /// Replaces the load.
-    pub fn change(&mut self, load: Load) {
-        let mut fleet = self.gateway.fleet.borrow_mut();
-        fleet.remove_load(&self.target, self.load);
-        fleet.add_load(&self.target, load);
-        self.load = load;
-        self.gateway.report_load(load);
-    }
-}
-
-impl Drop for Reservation {
-    fn drop(&mut self) {
-        self.gateway.fleet.borrow_mut().remove_load(&self.target, self.load);
-        self.gateway.report_load(self.load);
-    }
-}
-
-impl BodyBytes {
-    /// Grows to a number of bytes; returns whether the process may buffer that many.
-    #[must_use = "bytes without a reservation must not be buffered"]
-    pub fn grow_to(&mut self, bytes: usize) -> bool {
-        let added = bytes.saturating_sub(self.bytes);
-        let total = self.gateway.body_bytes.get() + added;
-        if added > 0 && total > self.gateway.limits.get().request_bytes {
-            return false;
-        }
-        self.gateway.body_bytes.set(total);
-        self.bytes += added;
-        true
-    }
-}
-
-impl Drop for BodyBytes {
-    fn drop(&mut self) {
-        self.gateway.body_bytes.set(self.gateway.body_bytes.get() - self.bytes);
-    }
-}
