--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -99,7 +99,7 @@
     943 Info TargetReplaced { target: &'a str, successor: &'a str }
     /// An engine that the store does not list yet is used.
     944 Info SuccessorFound { target: &'a str, address: &'a str, before: &'a str }
-    /// An engine's host does not respond, and other hosts do not respond either.
+    /// A target's host does not respond, and other hosts do not respond either.
     945 Warn LinkSuspected { target: &'a str, data_centre: &'a str }
     /// A rollout of a service to another version was ordered.
     946 Info RolloutOrdered { service: &'a str, version: &'a str, duration_ms: u64, state: &'a str }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,8 +36,8 @@
 //! | [`run`] | startup, signals, shutdown |
 //! | [`send_rate`] | limit of the rate at which state is sent to peers |
 //! | [`settings`] | settings file |
+//! | [`silence`] | measurement of an engine's silence |
 //! | [`stall`] | detection of engines that send no data |
-//! | [`stall_timer`] | measurement of an engine's silence |
 //! | [`stream_output`] | output of a stream to its caller |
 //! | [`target`] | targets as the platform lists them |
 //! | [`trial`] | the trial of a new version and its verdict |
@@ -101,8 +101,8 @@
 mod screening;
 pub mod send_rate;
 pub mod settings;
+pub mod silence;
 pub mod stall;
-pub mod stall_timer;
 mod state_fetcher;
 mod state_sender;
 mod stream;
--- a/crates/gateway/src/stall_timer.rs
+++ b/crates/gateway/src/silence.rs
@@ -11,15 +11,17 @@
 /// host is cut off, and its callers are served better by other entry hosts.
 const MAX_INCONCLUSIVE: Duration = Duration::from_secs(3);
 
-/// The time since an engine last sent data or could not be judged.
+/// The time without data from an engine.
 #[derive(Clone, Copy, Debug)]
-pub struct Timer {
+pub struct Silence {
+    /// When the silence began.
     started: Instant,
+    /// From when it counts.
     since: Instant,
     timeout: Duration,
 }
 
-impl Timer {
+impl Silence {
     /// Starts to measure; a silence longer than `timeout` is a stall.
     pub fn start(now: Instant, timeout: Duration) -> Self {
         Self {
--- a/crates/gateway/src/stall.rs
+++ b/crates/gateway/src/stall.rs
@@ -4,7 +4,7 @@
 
 use crate::gateway::Gateway;
 use crate::reachability::{self, Finding};
-use crate::stall_timer::Timer;
+use crate::silence::Silence;
 use crate::target::Target;
 
 /// The time without data after which a new connection is opened to check whether the engine's host is reachable.
@@ -88,10 +88,10 @@
     ) -> Result<T, Stall> {
         let mut future = std::pin::pin!(future);
         let deadline = gateway.now() + remaining;
-        let mut timer = Timer::start(gateway.now(), self.timeout);
+        let mut silence = Silence::start(gateway.now(), self.timeout);
         loop {
             let now = gateway.now();
-            let limit = timer.remaining(now).min(deadline.since(now));
+            let limit = silence.remaining(now).min(deadline.since(now));
             if limit.is_zero() {
                 return Err(Stall::Slow);
             }
@@ -108,7 +108,7 @@
                 biased;
                 output = future.as_mut() => return Ok(output),
                 finding = reachability::probe(gateway, target) => {
-                    if let Some(stall) = timer.record(gateway.now(), finding) {
+                    if let Some(stall) = silence.record(gateway.now(), finding) {
                         return Err(stall);
                     }
                     if finding == Finding::Inconclusive {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -131,7 +131,7 @@
                 }
             }
             let stream = &mut self.stream;
-            if let Some(reason) = stream.retries.next(&stream.gateway, &stream.job, is_retry_free) {
+            if let Err(reason) = stream.retries.take(&stream.gateway, &stream.job, is_retry_free) {
                 return self.give_up(reason);
             }
         }
--- a/crates/gateway/src/stream_retries.rs
+++ b/crates/gateway/src/stream_retries.rs
@@ -36,19 +36,25 @@
         self.is_reserved
     }
 
-    /// Takes a retry from the budget, unless one is reserved or the last attempt did not reach its engine. Returns why the
-    /// stream must not be retried if there is none.
-    pub(crate) fn next(&mut self, gateway: &Gateway, job: &Job, is_free: bool) -> Option<&'static str> {
+    /// Takes a retry from the budget, unless one is reserved or the last attempt did not reach its engine.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the reason why the stream must not be retried.
+    pub(crate) fn take(&mut self, gateway: &Gateway, job: &Job, is_free: bool) -> Result<(), &'static str> {
         if self.counted_runs >= job.route.max_attempts.max(1) {
-            return Some("the attempt limit of the route is reached");
+            return Err("the attempt limit of the route is reached");
         }
         if self.attempts >= MAX_ATTEMPTS {
-            return Some("too many engines did not run the request");
+            return Err("too many engines did not run the request");
         }
         if job.time_left(gateway).is_zero() {
-            return Some("the deadline has passed");
+            return Err("the deadline has passed");
+        }
+        if is_free || std::mem::take(&mut self.is_reserved) || gateway.try_retry(&job.service) {
+            Ok(())
+        } else {
+            Err("the retry budget is exhausted")
         }
-        let is_granted = is_free || std::mem::take(&mut self.is_reserved) || gateway.try_retry(&job.service);
-        (!is_granted).then_some("the retry budget is exhausted")
     }
 }
--- a/crates/gateway/tests/stall_timer.rs
+++ b/crates/gateway/tests/silence.rs
@@ -4,8 +4,8 @@
 
 use hawthornpost_core::clock::Instant;
 use hawthornpost_gateway::reachability::Finding;
+use hawthornpost_gateway::silence::Silence;
 use hawthornpost_gateway::stall::Stall;
-use hawthornpost_gateway::stall_timer::Timer;
 
 const TIMEOUT: Duration = Duration::from_millis(560);
 const PROBE_INTERVAL: Duration = Duration::from_millis(240);
@@ -15,11 +15,11 @@
 #[test]
 fn silence_of_all_hosts_is_not_held_against_an_engine() {
     let mut now = Instant::ZERO;
-    let mut timer = Timer::start(now, TIMEOUT);
+    let mut silence = Silence::start(now, TIMEOUT);
     for _ in 0..10 {
         now = now + PROBE_INTERVAL;
-        assert_eq!(timer.record(now, Finding::Inconclusive), None);
-        assert_eq!(timer.remaining(now), TIMEOUT);
+        assert_eq!(silence.record(now, Finding::Inconclusive), None);
+        assert_eq!(silence.remaining(now), TIMEOUT);
     }
 }
 
@@ -27,10 +27,10 @@
 #[test]
 fn a_long_silence_of_all_hosts_is_a_stall() {
     let mut now = Instant::ZERO;
-    let mut timer = Timer::start(now, TIMEOUT);
-    while !timer.remaining(now).is_zero() {
+    let mut silence = Silence::start(now, TIMEOUT);
+    while !silence.remaining(now).is_zero() {
         now = now + PROBE_INTERVAL;
-        assert_eq!(timer.record(now, Finding::Inconclusive), None);
+        assert_eq!(silence.record(now, Finding::Inconclusive), None);
         assert!(now.since(Instant::ZERO) < Duration::from_secs(5));
     }
 }
@@ -38,10 +38,10 @@
 /// Guards against an engine that accepts connections and never responds, and against one whose host is down.
 #[test]
 fn silence_of_an_engine_alone_is_a_stall() {
-    let mut timer = Timer::start(Instant::ZERO, TIMEOUT);
+    let mut silence = Silence::start(Instant::ZERO, TIMEOUT);
     let now = Instant::ZERO + PROBE_INTERVAL;
-    assert_eq!(timer.record(now, Finding::Reachable), None);
-    assert_eq!(timer.remaining(now), (Instant::ZERO + TIMEOUT).since(now));
-    assert_eq!(timer.remaining(now + TIMEOUT), Duration::ZERO);
-    assert_eq!(timer.record(now, Finding::Unreachable), Some(Stall::Unreachable));
+    assert_eq!(silence.record(now, Finding::Reachable), None);
+    assert_eq!(silence.remaining(now), (Instant::ZERO + TIMEOUT).since(now));
+    assert_eq!(silence.remaining(now + TIMEOUT), Duration::ZERO);
+    assert_eq!(silence.record(now, Finding::Unreachable), Some(Stall::Unreachable));
 }
