--- a/crates/gateway/src/screening.rs
+++ b/crates/gateway/src/screening.rs
@@ -60,14 +60,16 @@
             .admit(self.gateway.now(), &self.request, &self.parts)
         {
             Verdict::Allowed => true,
-            Verdict::Trial(part) => {
+            Verdict::Trial(parts) => {
                 self.is_trial.set(true);
-                let trial = self.gateway.quarantine().trial(self.gateway.now(), &part);
-                self.gateway.peers().broadcast(Datagram::Quarantine(trial));
-                self.log_decision(
-                    &part,
-                    "a single request is sent to find out whether the part still crashes engines",
-                );
+                for part in &parts {
+                    let trial = self.gateway.quarantine().trial(self.gateway.now(), part);
+                    self.gateway.peers().broadcast(Datagram::Quarantine(trial));
+                    self.log_decision(
+                        part,
+                        "a single request is sent to find out whether the part still crashes engines",
+                    );
+                }
                 true
             }
             Verdict::Refused(part) => {
@@ -79,11 +81,15 @@
 
     /// Waits until the request must not run, although it was sent; forever once an engine has begun to answer it.
     pub(crate) async fn revoked(self) {
-        let part = self
-            .gateway
-            .quarantine()
-            .wait_quarantined(&self.request, &self.parts)
-            .await;
+        let quarantine = self.gateway.quarantine();
+        let part = loop {
+            quarantine.wait_quarantined(&self.request, &self.parts).await;
+            // The message that explains the crashes otherwise may be on its way.
+            self.gateway.timer().sleep(EXPLANATION_DELAY).await;
+            if let Some(part) = quarantine.quarantined(&self.request, &self.parts) {
+                break part;
+            }
+        };
         if self.has_begun.get() || self.is_trial.get() {
             std::future::pending::<()>().await;
         }
@@ -101,7 +107,8 @@
 
     /// Checks whether the engine that closed the connection has crashed, and records it.
     ///
-    /// An engine that accepts new connections has only reset this one. One that leaves, or is not listed any more, has
+    /// An engine that accepts new connections has only reset this one. One whose host does not respond may be cut off, or
+    /// the link of this host is slow. One that leaves, or is not listed any more, has
     /// ended as planned.
     pub(crate) async fn record_disconnect(&self, target: &Rc<Target>) {
         if self.has_begun.get() {
@@ -117,7 +124,7 @@
     async fn check_crash(&self, target: &Target) -> bool {
         let is_listed = |listed: &Rc<Target>| listed.is_same_incarnation(target) && !listed.is_leaving;
         if !self.gateway.fleet().borrow().get(&target.id).is_some_and(is_listed)
-            || outbound::accepts_connections(target.address, CRASH_CHECK_TIMEOUT).await
+            || !outbound::refuses_connections(target.address, CRASH_CHECK_TIMEOUT).await
         {
             return false;
         }
