Spread state through relays, push changes, and start from peers

Cause: on a fleet of 295 hosts nearly all hosts called the store at each change. Watchers sent more than 24 changes of targets only as a gap; hosts waited for the transfer in the loop that also handled the updates of the configuration, so that after 1.25 s both kinds counted as stale. Each host listed everything at its start, and the first watchers stopped before their successors began. Load reports went from each host to all others, and a view of 295 members did not fit into a datagram. Change: messages to all hosts go through two random relays in each other data centre from 32 hosts; loads are gathered in each data centre and sent in batches; large datagrams are compressed and views split; updates carry the changes of the configuration and of targets, and fetching what does not fit never holds up the next update. Hosts other than seeds ask peers before the store at start; orders of rollouts come with the targets and from watchers; watchers overlap for 2 s. Numbers of peers no longer overflow sums. Tests: dissemination, large_fleet with 34 processes. transfer checked that a host had fetched each change over HTTP; changes come with the update now, so it checks that the host without the store received each one from a peer, and the bound on bytes stays.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -138,8 +138,8 @@
             .retain(|_, (last_report_at, _)| now.since(*last_report_at) < PEER_TIMEOUT);
         let of_peers = self.peers.values().filter_map(|(_, services)| services.get(service));
         of_peers.fold(own, |sum, usage| Usage {
-            requests: sum.requests + usage.requests,
-            retries: sum.retries + usage.retries,
+            requests: sum.requests.saturating_add(usage.requests),
+            retries: sum.retries.saturating_add(usage.retries),
         })
     }
 
--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -1,12 +1,14 @@
 //! UDP datagrams between entry hosts.
 
 use std::collections::BTreeMap;
+use std::io;
 
 use hawthornpost_core::id::Entry;
 use hawthornpost_core::membership::{Member, Message};
 use serde::{Deserialize, Serialize};
 
 use crate::budget::Usage;
+use crate::compression;
 use crate::departures::Departure;
 use crate::feed::Update;
 use crate::load::Load;
@@ -15,8 +17,17 @@
 use crate::target::Target;
 use crate::trial::Observation;
 
+/// The maximum size of a datagram.
+pub(crate) const MAX_DATAGRAM_BYTES: usize = 60 << 10;
+/// The size from which datagrams are compressed. It is about what one packet carries.
+const MIN_COMPRESSED_BYTES: usize = 1200;
+/// The maximum size of a datagram after decompression.
+const MAX_CONTENT_BYTES: usize = 1 << 20;
+/// The first byte of compressed contents, with which JSON cannot begin.
+const COMPRESSED_MARK: u8 = 0x1f;
+
 /// A datagram to another entry host.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub(crate) enum Datagram {
     /// A membership probe.
@@ -29,14 +40,16 @@
         target: Entry,
         message: Message,
     },
-    /// The sender's full membership table.
+    /// A part of the sender's membership table.
     View { members: Vec<Member> },
-    /// The sender's load at some targets (see [`crate::load_report`]), and its requests and retries in the last window.
-    Loads {
-        from: Entry,
-        loads: BTreeMap<String, Load>,
-        used: BTreeMap<String, Usage>,
-    },
+    /// The sender's load.
+    Loads(LoadReport),
+    /// The sender's load, to be reported to all hosts by the receiver.
+    CollectedLoads(LoadReport),
+    /// The loads of several hosts.
+    LoadBatch(Vec<LoadReport>),
+    /// Contents for all hosts of the receiver's data centre.
+    Relayed(Box<Datagram>),
     /// The sender suspects a target.
     Suspect { target: String },
     /// An engine crashed while a request of the sender with these parts was waiting for its first event.
@@ -54,3 +67,40 @@
     /// Targets that have announced that they are leaving.
     Departures(Vec<Departure>),
 }
+
+/// The load of a host at some targets (see [`crate::load_report`]), and its requests and retries in the last window.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct LoadReport {
+    pub from: Entry,
+    pub loads: BTreeMap<String, Load>,
+    pub used: BTreeMap<String, Usage>,
+}
+
+/// The reason why a datagram cannot be decoded.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Failure {
+    #[error("cannot decompress: {0}")]
+    Compression(#[from] io::Error),
+    #[error("{0}; check that all hosts run the same release")]
+    Json(#[from] serde_json::Error),
+}
+
+impl Datagram {
+    /// Encodes the datagram, compressed if it is large.
+    pub(crate) fn encode(&self) -> Result<Vec<u8>, Failure> {
+        let json = serde_json::to_vec(self)?;
+        if json.len() < MIN_COMPRESSED_BYTES {
+            return Ok(json);
+        }
+        Ok(compression::compress(&json)?)
+    }
+
+    /// Decodes a datagram.
+    pub(crate) fn decode(bytes: &[u8]) -> Result<Self, Failure> {
+        if bytes.first() != Some(&COMPRESSED_MARK) {
+            return Ok(serde_json::from_slice(bytes)?);
+        }
+        let json = compression::decompress(bytes, MAX_CONTENT_BYTES)?;
+        Ok(serde_json::from_slice(&json)?)
+    }
+}
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -10,8 +10,10 @@
 use hawthornpost_core::id::{DataCentre, Entry};
 use serde::{Deserialize, Serialize};
 
+use crate::config_delta::Delta;
 use crate::duration::scale_by_hosts;
 use crate::platform::Kind;
+use crate::rollout::Order;
 use crate::target::Target;
 
 /// The maximum number of hosts that watch.
@@ -35,6 +37,9 @@
     Config {
         /// The version.
         version: u64,
+        /// The latest changes, if they have just been made and are small.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        delta: Option<Box<Delta>>,
     },
     /// Changes of targets.
     Targets {
@@ -45,6 +50,15 @@
         /// The changes, oldest first.
         changes: Vec<Change>,
     },
+    /// All rollout orders.
+    Orders(Vec<Order>),
+    /// All targets.
+    AllTargets {
+        /// The revision.
+        revision: u64,
+        /// The targets.
+        targets: Vec<Target>,
+    },
 }
 
 /// A change of a target.
@@ -148,7 +162,7 @@
 }
 
 /// Returns the hash that orders hosts, so that the order does not depend on a naming scheme.
-fn name_hash(entry: &Entry) -> u64 {
+pub(crate) fn name_hash(entry: &Entry) -> u64 {
     // FNV-1a. Every host has to compute the same order.
     entry.as_str().bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
         (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -200,7 +200,10 @@
     pub fn prefill_tokens(&self, id: &str) -> u64 {
         let member = self.members.get(id);
         member.map_or(0, |member| {
-            member.own_load.prefill_tokens + member.peer_load.prefill_tokens
+            member
+                .own_load
+                .prefill_tokens
+                .saturating_add(member.peer_load.prefill_tokens)
         })
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -45,6 +45,10 @@
 const MAX_PAUSE: Duration = Duration::from_secs(600);
 /// The time over which refused callers return after the pause of all targets.
 const RETURN_SPREAD: Duration = Duration::from_secs(1);
+/// The time after which a process knows nearly all other hosts.
+const MEMBERSHIP_SETTLING_TIME: Duration = Duration::from_secs(3);
+/// How long a host watches the store after others were chosen for it.
+const WATCHER_HANDOVER_TIME: Duration = Duration::from_secs(2);
 /// How long a replaced target is kept for a successor lookup, in case the store turns out to be unreachable.
 const REPLACED_TTL: Duration = Duration::from_secs(5);
 
@@ -62,6 +66,8 @@
     fleet_revision: Cell<u64>,
     is_fleet_known: Cell<bool>,
     is_store_unreachable: Cell<bool>,
+    /// When this host was last among the watchers.
+    last_watcher_at: Cell<Option<Instant>>,
     replaced: RefCell<Vec<Replacement>>,
     budget: RefCell<Budget>,
     rollouts: RefCell<Rollouts>,
@@ -104,6 +110,7 @@
             fleet_revision: Cell::default(),
             is_fleet_known: Cell::default(),
             is_store_unreachable: Cell::default(),
+            last_watcher_at: Cell::default(),
             replaced: RefCell::default(),
             budget: RefCell::new(Budget::new(settings.limits.retries)),
             rollouts: RefCell::new(Rollouts::new(settings.rollouts, rand::random())),
@@ -176,9 +183,8 @@
         if config.version <= self.config_version() {
             return;
         }
-        if let Some(before) = self.config() {
-            self.state_sender.record_change(&Delta::between(&before, &config));
-        }
+        let before = self.config().unwrap_or_default();
+        self.state_sender.record_change(&Delta::between(&before, &config));
         self.replace_config(config, source);
     }
 
@@ -330,6 +336,22 @@
         &self.peers
     }
 
+    /// Returns whether this host watches the store for its peers. Shortly after its start it knows too few hosts to tell,
+    /// so the seeds do. A host goes on for some time after others have taken over, because they start later.
+    pub(crate) fn is_watcher(&self) -> bool {
+        let now = self.now();
+        let is_chosen = if now.since_start() < MEMBERSHIP_SETTLING_TIME {
+            self.peers.is_seed()
+        } else {
+            self.peers.is_watcher()
+        };
+        if is_chosen {
+            self.last_watcher_at.set(Some(now));
+        }
+        let last = self.last_watcher_at.get();
+        last.is_some_and(|last| now.since(last) < WATCHER_HANDOVER_TIME)
+    }
+
     /// Returns whether this host accepts new requests: it has a configuration and targets and is not shutting down.
     pub fn is_ready(&self) -> bool {
         self.phase() == Phase::Running && self.config_version() > 0 && self.is_fleet_known.get()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`config_history`] | recent changes of the configuration |
 //! | [`departures`] | targets that announced that they are leaving |
 //! | [`dialect`] | request and response headers of the platform |
+//! | [`dissemination`] | relays in other data centres |
 //! | [`event`] | numbered log events |
 //! | [`event_stream`] | parser of `text/event-stream` bodies |
 //! | [`feed`] | choice of the hosts that watch the store, and their updates to peers |
@@ -60,6 +61,7 @@
 pub mod departures;
 pub mod dialect;
 mod directory;
+pub mod dissemination;
 mod duration;
 mod error;
 pub mod event;
@@ -78,6 +80,7 @@
 mod list_delta;
 mod listener;
 pub mod load;
+mod load_exchange;
 pub mod load_report;
 pub mod log_limit;
 pub mod logging;
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -49,12 +49,12 @@
         *self == Self::default()
     }
 
-    /// Adds a load.
+    /// Adds a load, up to the limits of the types, because peers report any numbers.
     pub fn add(&mut self, other: Self) {
-        self.calls += other.calls;
-        self.streams += other.streams;
-        self.prefill_tokens += other.prefill_tokens;
-        self.memory_tokens += other.memory_tokens;
+        self.calls = self.calls.saturating_add(other.calls);
+        self.streams = self.streams.saturating_add(other.streams);
+        self.prefill_tokens = self.prefill_tokens.saturating_add(other.prefill_tokens);
+        self.memory_tokens = self.memory_tokens.saturating_add(other.memory_tokens);
     }
 
     /// Subtracts a load, down to zero.
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -86,7 +86,7 @@
 }
 
 fn memory_penalty(load: Load, need: Need) -> f64 {
-    let fill = (load.memory_tokens + need.memory_tokens) as f64 / need.capacity.max(1) as f64;
+    let fill = load.memory_tokens.saturating_add(need.memory_tokens) as f64 / need.capacity.max(1) as f64;
     if fill > MEMORY_HIGH_WATERMARK {
         FULL_MEMORY_PENALTY_MS * fill
     } else {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -15,6 +15,7 @@
 
 use crate::datagram::Datagram;
 use crate::departures::Departure;
+use crate::dissemination::{self, MIN_HOSTS_FOR_RELAYS, Plan};
 use crate::duration::millis;
 use crate::feed::{self, Candidate, Update};
 use crate::settings::Settings;
@@ -24,6 +25,9 @@
 /// The interval between two probes. Together with the suspicion timeout it bounds how long callers are still directed to
 /// a failed host.
 const PROBE_INTERVAL: Duration = Duration::from_millis(300);
+/// The maximum size of the membership updates in one probe. Datagrams are compressed to about a fifth, so one packet
+/// carries them. They are that many only while hosts join or fail in numbers.
+const MAX_UPDATE_BYTES: usize = 6 << 10;
 /// The timeout of a direct probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -33,6 +37,7 @@
     pub(crate) name: Entry,
     pub(crate) table: RefCell<Table>,
     pub(crate) seeds: Vec<SocketAddr>,
+    is_seed: bool,
     /// The store revisions of the targets that the peers know.
     peer_revisions: RefCell<BTreeMap<Entry, u64>>,
     revision: Cell<u64>,
@@ -66,12 +71,14 @@
         let timing = membership::Settings {
             period: PROBE_INTERVAL,
             probe_timeout: PROBE_TIMEOUT,
+            max_update_bytes: MAX_UPDATE_BYTES,
             ..membership::Settings::default()
         };
         let seeds = settings.peers.seeds.iter();
         let seeds = seeds.map(|seed| SocketAddr::new(seed.ip(), listen.peers.port()));
-        let seeds = seeds.filter(|seed| *seed != listen.peers).collect::<Vec<_>>();
+        let (own_seeds, seeds) = seeds.partition::<Vec<_>, _>(|seed| *seed == listen.peers);
         Self {
+            is_seed: !own_seeds.is_empty(),
             name: settings.entry.name.clone(),
             table: RefCell::new(Table::new(own, seeds.clone(), timing, rand::random())),
             seeds,
@@ -156,6 +163,11 @@
         sources
     }
 
+    /// Returns whether other hosts join through this one.
+    pub(crate) fn is_seed(&self) -> bool {
+        self.is_seed
+    }
+
     /// Waits until a peer may have newer state.
     pub async fn newer_state(&self) {
         self.newer_state.notified().await;
@@ -254,6 +266,32 @@
         self.loads_changed.notify_one();
     }
 
+    /// Returns the receivers of a message to all hosts.
+    pub(crate) fn plan(&self, relays: usize) -> Plan {
+        let table = self.table.borrow();
+        let others = table.others().filter(|member| member.is_live()).collect::<Vec<_>>();
+        Plan::new(table.own(), &others, relays, &mut rand::rng())
+    }
+
+    /// Returns whether messages to all hosts go through relays.
+    pub(crate) fn has_relays(&self) -> bool {
+        self.live_hosts() >= MIN_HOSTS_FOR_RELAYS
+    }
+
+    /// Returns the peer addresses of the other live hosts of this data centre.
+    pub(crate) fn neighbours(&self) -> Vec<SocketAddr> {
+        let table = self.table.borrow();
+        let others = table.others().filter(|member| member.is_live()).collect::<Vec<_>>();
+        dissemination::neighbours(table.own(), &others)
+    }
+
+    /// Returns the host that gathers the load reports of this data centre; `None` if this host does.
+    pub(crate) fn collector(&self) -> Option<SocketAddr> {
+        let table = self.table.borrow();
+        let others = table.others().filter(|member| member.is_live()).collect::<Vec<_>>();
+        dissemination::collector(table.own(), &others)
+    }
+
     /// Returns the peer addresses of the other live hosts.
     pub(crate) fn live_addresses(&self) -> Vec<SocketAddr> {
         let table = self.table.borrow();
--- a/crates/gateway/src/peers_runner.rs
+++ b/crates/gateway/src/peers_runner.rs
@@ -12,24 +12,17 @@
 use rand::seq::IndexedRandom;
 use tokio::net::UdpSocket;
 
-use crate::datagram::Datagram;
-use crate::duration::scale_by_hosts;
+use crate::datagram::{Datagram, MAX_DATAGRAM_BYTES};
+use crate::dissemination::{Plan, RELAYS_PER_DATA_CENTRE};
 use crate::error::{Kind, Result};
 use crate::event::Event;
 use crate::gateway::Gateway;
-use crate::load_report::Reporter;
+use crate::load_exchange::Exchange;
 use crate::peers::Peers;
 use crate::successor;
 
-/// The maximum size of a datagram.
-const MAX_DATAGRAM_BYTES: usize = 60 << 10;
-/// The minimum interval between two load reports of a host.
-const MIN_LOAD_INTERVAL: Duration = Duration::from_millis(40);
-/// The minimum interval per live host, so that the rate of received reports does not grow with the number of hosts: links
-/// of 10 Mbit/s carry stream events as well.
-const MIN_LOAD_INTERVAL_PER_HOST: Duration = Duration::from_millis(4);
-/// The maximum interval between two load reports while there is load, so that a lost datagram has no lasting effect.
-const MAX_LOAD_INTERVAL: Duration = Duration::from_secs(2);
+/// The maximum number of members in a datagram. Larger ones would be lost more often, as each takes several packets.
+const MAX_VIEW_MEMBERS: usize = 64;
 /// The interval at which a host repeats to another host what that one may have missed.
 const REPEAT_INTERVAL: Duration = Duration::from_secs(1);
 /// The maximum sleep of the probe task.
@@ -45,10 +38,51 @@
     sent: Instant,
 }
 
+/// The socket for datagrams.
+pub(crate) struct Socket(UdpSocket);
+
+impl Socket {
+    /// Sends a datagram; it may get lost.
+    pub(crate) fn send(&self, address: SocketAddr, datagram: &Datagram) {
+        self.send_all(&[address], datagram);
+    }
+
+    /// Sends a datagram to several hosts.
+    pub(crate) fn send_all(&self, addresses: &[SocketAddr], datagram: &Datagram) {
+        let bytes = match datagram.encode() {
+            Ok(bytes) if bytes.len() <= MAX_DATAGRAM_BYTES => bytes,
+            Ok(bytes) => {
+                log::error!("cannot send a datagram of {} bytes: it is too large", bytes.len());
+                return;
+            }
+            Err(error) => {
+                log::error!("cannot encode a datagram: {error}");
+                return;
+            }
+        };
+        for address in addresses {
+            if let Err(error) = self.0.try_send_to(&bytes, *address) {
+                log::debug!("cannot send a datagram to {address}: {error}");
+            }
+        }
+    }
+
+    /// Sends a datagram to all hosts of a plan.
+    pub(crate) fn disseminate(&self, plan: &Plan, datagram: &Datagram) {
+        if !plan.direct.is_empty() {
+            self.send_all(&plan.direct, datagram);
+        }
+        if !plan.relays.is_empty() {
+            self.send_all(&plan.relays, &Datagram::Relayed(Box::new(datagram.clone())));
+        }
+    }
+}
+
 /// The socket and the relayed probes of this host.
 struct Runner {
     gateway: Rc<Gateway>,
-    socket: UdpSocket,
+    socket: Rc<Socket>,
+    loads: Exchange,
     relayed: RefCell<BTreeMap<u64, Relayed>>,
     next_relay: Cell<u64>,
 }
@@ -68,13 +102,22 @@
     let socket = UdpSocket::bind(address)
         .await
         .map_err(|source| Kind::Listen { address, source })?;
+    let socket = Rc::new(Socket(socket));
     let runner = Rc::new(Runner {
+        loads: Exchange::new(&gateway, &socket),
         gateway,
         socket,
         relayed: RefCell::default(),
         next_relay: Cell::new(FIRST_RELAY_NUMBER),
     });
-    for task in [Task::Receive, Task::Probe, Task::Loads, Task::Changes, Task::Repeats] {
+    for task in [
+        Task::Receive,
+        Task::Probe,
+        Task::Loads,
+        Task::Batches,
+        Task::Changes,
+        Task::Repeats,
+    ] {
         let runner = Rc::clone(&runner);
         tokio::task::spawn_local(async move { runner.run(task).await });
     }
@@ -86,6 +129,7 @@
     Receive,
     Probe,
     Loads,
+    Batches,
     Changes,
     Repeats,
 }
@@ -95,7 +139,8 @@
         match task {
             Task::Receive => self.receive().await,
             Task::Probe => self.probe().await,
-            Task::Loads => self.report_loads().await,
+            Task::Loads => self.loads.report().await,
+            Task::Batches => self.loads.send_batches().await,
             Task::Changes => self.broadcast_changes().await,
             Task::Repeats => self.repeat_state().await,
         }
@@ -106,17 +151,14 @@
     }
 
     fn send(&self, address: SocketAddr, datagram: &Datagram) {
-        let bytes = serde_json::to_vec(datagram).unwrap_or_default();
-        if let Err(error) = self.socket.try_send_to(&bytes, address) {
-            log::debug!("cannot send a datagram to {address}: {error}");
-        }
+        self.socket.send(address, datagram);
     }
 
     async fn receive(&self) {
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
         loop {
-            match self.socket.recv_from(&mut buffer).await {
-                Ok((length, from)) => match serde_json::from_slice(&buffer[..length]) {
+            match self.socket.0.recv_from(&mut buffer).await {
+                Ok((length, from)) => match Datagram::decode(&buffer[..length]) {
                     Ok(datagram) => self.handle(from, datagram),
                     Err(error) => log::debug!("cannot decode a datagram from {from}: {error}"),
                 },
@@ -155,16 +197,19 @@
                 let commands = self.peers().table.borrow_mut().merge(now, &members);
                 self.execute(commands);
             }
-            Datagram::Loads {
-                from,
-                loads,
-                used: usage,
-            } => {
-                self.gateway.fleet().borrow_mut().merge_peer(now, from.as_str(), &loads);
-                self.gateway
-                    .budget()
-                    .borrow_mut()
-                    .set_peer_usage(now, from.as_str(), usage);
+            Datagram::Loads(report) => self.loads.apply(&report),
+            Datagram::CollectedLoads(report) => {
+                self.loads.apply(&report);
+                self.loads.gather(report);
+            }
+            Datagram::LoadBatch(reports) => reports.iter().for_each(|report| self.loads.apply(report)),
+            // A relay forwards once; nested relays would multiply a datagram.
+            Datagram::Relayed(contents) if matches!(*contents, Datagram::Relayed(_)) => {
+                log::debug!("dropped a relayed datagram of {from} that is to be relayed again");
+            }
+            Datagram::Relayed(contents) => {
+                self.socket.send_all(&self.peers().neighbours(), &contents);
+                self.handle(from, *contents);
             }
             Datagram::Suspect { target } => {
                 self.gateway.fleet().borrow_mut().suspect(now, &target);
@@ -250,7 +295,10 @@
                 }
                 Command::Sync(address) => {
                     let members = self.peers().table.borrow().snapshot();
-                    self.send(address, &Datagram::View { members });
+                    for members in members.chunks(MAX_VIEW_MEMBERS) {
+                        let members = members.to_vec();
+                        self.send(address, &Datagram::View { members });
+                    }
                 }
                 Command::Changed(member) => self.record_change(&member),
             }
@@ -293,10 +341,9 @@
             if datagrams.is_empty() {
                 datagrams.push(self.peers().announcement());
             }
-            for address in self.peers().live_addresses() {
-                for datagram in &datagrams {
-                    self.send(address, datagram);
-                }
+            let plan = self.peers().plan(RELAYS_PER_DATA_CENTRE);
+            for datagram in &datagrams {
+                self.socket.disseminate(&plan, datagram);
             }
         }
     }
@@ -318,36 +365,6 @@
             }
         }
     }
-
-    async fn report_loads(&self) {
-        let mut reporter = Reporter::default();
-        loop {
-            let own = self.gateway.fleet().borrow().own_loads();
-            let is_idle = own.is_empty();
-            let loads = reporter.report(&own);
-            let from = self.peers().name.clone();
-            let usage = self.gateway.budget().borrow_mut().usage(self.gateway.now());
-            let datagram = Datagram::Loads {
-                from,
-                loads,
-                used: usage,
-            };
-            for address in self.peers().live_addresses() {
-                self.send(address, &datagram);
-            }
-            let interval = MIN_LOAD_INTERVAL.max(scale_by_hosts(MIN_LOAD_INTERVAL_PER_HOST, self.peers().live_hosts()));
-            self.gateway.timer().sleep(interval).await;
-            let wake = self.peers().loads_changed.notified();
-            if reporter.is_pending() {
-                continue;
-            }
-            if is_idle {
-                wake.await;
-            } else {
-                self.gateway.timer().timeout(MAX_LOAD_INTERVAL, wake).await;
-            }
-        }
-    }
 }
 
 fn state_name(state: State) -> &'static str {
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -22,6 +22,8 @@
 pub struct Rollouts {
     exposure: Exposure,
     trials: BTreeMap<String, (Trial, Option<Instant>)>,
+    /// Whether the orders were read from the store or a peer.
+    is_known: bool,
     next_wait: u64,
     random: SmallRng,
 }
@@ -32,6 +34,7 @@
         Self {
             exposure,
             trials: BTreeMap::new(),
+            is_known: false,
             next_wait: 0,
             random: SmallRng::seed_from_u64(seed),
         }
@@ -60,6 +63,21 @@
         self.trials.insert(service, (trial, None));
     }
 
+    /// Records that the orders were read from the store or a peer.
+    pub(crate) fn mark_known(&mut self) {
+        self.is_known = true;
+    }
+
+    /// Returns whether the orders were read from the store or a peer.
+    pub(crate) fn is_known(&self) -> bool {
+        self.is_known
+    }
+
+    /// Returns the orders, for hosts that lack them.
+    pub(crate) fn orders(&self) -> impl Iterator<Item = &Order> {
+        self.trials.values().map(|(trial, _)| trial.order())
+    }
+
     /// Removes the order of a service.
     pub fn remove(&mut self, service: &str) {
         self.trials.remove(service);
--- a/crates/gateway/src/rollouts_runner.rs
+++ b/crates/gateway/src/rollouts_runner.rs
@@ -5,6 +5,7 @@
 
 use crate::duration::scale_by_hosts;
 use crate::event::Event;
+use crate::feed::Update;
 use crate::gateway::Gateway;
 use crate::platform::{Change, Failure, Kind, Object, Platform};
 use crate::rollout::Order;
@@ -14,6 +15,10 @@
 const MAX_WATCH_WAIT: Duration = Duration::from_secs(10);
 /// The delay after a failed call, and the interval at which a host that does not watch checks whether it has to.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
+/// The interval at which watchers tell their peers all orders.
+const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_secs(1);
+/// How long a host waits for the orders from a watcher before it reads them from the store.
+const PEER_PATIENCE: Duration = Duration::from_millis(2500);
 /// The interval of checks whether the process is ready.
 const READY_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// The interval of decisions on trials while there are few hosts.
@@ -35,21 +40,25 @@
         platform: Rc::clone(platform),
         unusable: unusable::Log::default(),
     });
-    let follower = Rc::clone(&runner);
+    let (follower, announcer) = (Rc::clone(&runner), Rc::clone(&runner));
+    tokio::task::spawn_local(async move { announcer.announce().await });
     tokio::task::spawn_local(async move { follower.follow().await });
     tokio::task::spawn_local(async move { runner.decide().await });
 }
 
 impl<P: Platform> Runner<P> {
-    /// Lists the orders at the start, and watches them while this host is one of the watchers.
+    /// Lists the orders at the start unless a peer sent them, and watches them while this host is one of the watchers.
     async fn follow(&self) {
         let mut revision = None;
         // The first calls of a process are for the state that it needs to serve requests.
         while !self.gateway.is_ready() {
             self.gateway.timer().sleep(READY_POLL_INTERVAL).await;
         }
+        let ready_at = self.gateway.now();
         loop {
-            if revision.is_some() && !self.gateway.peers().is_watcher() {
+            let is_known = self.gateway.rollouts().borrow().is_known();
+            let may_wait = is_known || self.gateway.now().since(ready_at) < PEER_PATIENCE;
+            if may_wait && !self.gateway.is_watcher() {
                 self.gateway.timer().sleep(RETRY_DELAY).await;
                 continue;
             }
@@ -71,6 +80,20 @@
         }
     }
 
+    /// Tells peers all orders at intervals while this host is a watcher, so that hosts that start need not read them.
+    async fn announce(&self) {
+        loop {
+            self.gateway.timer().sleep(ANNOUNCEMENT_INTERVAL).await;
+            let orders = {
+                let rollouts = self.gateway.rollouts().borrow();
+                rollouts.is_known().then(|| rollouts.orders().cloned().collect())
+            };
+            if let Some(orders) = orders.filter(|_| self.gateway.is_watcher()) {
+                self.gateway.peers().broadcast_update(Update::Orders(orders));
+            }
+        }
+    }
+
     async fn list(&self) -> Result<u64, Failure> {
         let listing = self.platform.list(Kind::Rollouts).await?;
         let objects = listing.objects.into_iter();
@@ -89,6 +112,7 @@
         for order in orders {
             self.gateway.put_rollout(order);
         }
+        self.gateway.rollouts().borrow_mut().mark_known();
         Ok(listing.revision)
     }
 
@@ -127,7 +151,7 @@
 
     /// Writes the states that the store lacks. Several hosts may do so; the store accepts the first write.
     async fn write_states(&self) {
-        if !self.gateway.peers().is_watcher() {
+        if !self.gateway.is_watcher() {
             return;
         }
         let unwritten = self.gateway.rollouts().borrow().unwritten();
--- a/crates/gateway/src/state_fetcher.rs
+++ b/crates/gateway/src/state_fetcher.rs
@@ -42,6 +42,13 @@
     Delta(#[from] config_delta::Failure),
 }
 
+impl Failure {
+    /// Returns whether the peer responded, although without the state.
+    pub(crate) fn is_response(&self) -> bool {
+        !matches!(self, Self::Call(failure) if !matches!(failure, outbound::Failure::Status { .. }))
+    }
+}
+
 /// Fetches the configuration and activates it if it is newer. Changes that cannot be applied are replaced by the whole
 /// configuration.
 ///
--- a/crates/gateway/src/state_sender.rs
+++ b/crates/gateway/src/state_sender.rs
@@ -21,6 +21,7 @@
 use crate::metric::{self, Direction};
 use crate::platform::Kind;
 use crate::response;
+use crate::rollout::Order;
 use crate::send_rate::Limiter;
 use crate::target::Target;
 
@@ -46,12 +47,16 @@
     /// The targets that have announced that they are leaving, whether the store lists them or not.
     #[serde(default)]
     pub departures: Vec<Departure>,
+    /// The rollout orders, if the sender knows them.
+    #[serde(default)]
+    pub orders: Option<Vec<Order>>,
 }
 
 /// The responses for peers.
 #[derive(Default)]
 pub(crate) struct Sender {
     history: RefCell<History>,
+    latest: RefCell<Option<Delta>>,
     config: RefCell<Option<Compressed>>,
     targets: RefCell<Option<Compressed>>,
     limiter: Cell<Limiter>,
@@ -68,9 +73,19 @@
     /// Records a change of the configuration.
     pub(crate) fn record_change(&self, delta: &Delta) {
         self.history.borrow_mut().push(delta);
+        *self.latest.borrow_mut() = Some(delta.clone());
         self.config.take();
     }
 
+    /// Returns the latest change, if it leads from one version of the configuration to another.
+    pub(crate) fn change_between(&self, base: u64, version: u64) -> Option<Delta> {
+        let latest = self.latest.borrow();
+        latest
+            .as_ref()
+            .filter(|delta| delta.base() == base && delta.version() == version)
+            .cloned()
+    }
+
     /// Responds to a request for the configuration.
     pub(crate) fn send_config(&self, gateway: &Gateway, uri: &Uri, headers: &HeaderMap) -> Response<Body> {
         let Some(config) = gateway.config() else {
@@ -105,6 +120,7 @@
                 .map(|target| (**target).clone())
                 .collect(),
             departures: sorted_departures(gateway),
+            orders: known_orders(gateway),
         };
         if !accepts_gzip(headers) {
             return plain(Kind::Targets, &targets);
@@ -164,6 +180,11 @@
     Ok(body)
 }
 
+fn known_orders(gateway: &Gateway) -> Option<Vec<Order>> {
+    let rollouts = gateway.rollouts().borrow();
+    rollouts.is_known().then(|| rollouts.orders().cloned().collect())
+}
+
 /// Returns the departures in an order that depends on nothing else, so that equal state is compressed once.
 fn sorted_departures(gateway: &Gateway) -> Vec<Departure> {
     let mut departures = gateway.fleet().borrow().departures().cloned().collect::<Vec<_>>();
