Let a few hosts take the place of watchers that send no updates

While the store turned a third of the hosts away, and while hosts were cut off, the three watchers could not reach it; all others missed their updates at the same moment and called, again and again. The age of an update left 0.25 s for a slow host at any time that a change may take, and state was fetched from peers for 0.6 s however many hosts did so. Change: a host that misses updates waits for a random time before it calls; the first ones that succeed announce what they read and watch for 3 to 6 s. The age of updates follows from the settings (config_apply_ms, drain_ms). Hosts that hear from others retry the store less often, and fetch longer from peers when there are many. Large updates take one relay for each data centre, as several watchers send them.

--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -23,6 +23,8 @@
 const MIN_COMPRESSED_BYTES: usize = 1200;
 /// The maximum size of a datagram after decompression.
 const MAX_CONTENT_BYTES: usize = 1 << 20;
+/// The number of changes up to which an update is small.
+const MAX_SMALL_CHANGES: usize = 8;
 /// The first byte of compressed contents, with which JSON cannot begin.
 const COMPRESSED_MARK: u8 = 0x1f;
 
@@ -86,6 +88,15 @@
 }
 
 impl Datagram {
+    /// Returns whether the datagram carries many changes of the store.
+    pub(crate) fn is_bulk(&self) -> bool {
+        match self {
+            Self::Feed(Update::Targets { changes, .. }) => changes.len() > MAX_SMALL_CHANGES,
+            Self::Feed(Update::AllTargets { .. }) => true,
+            _ => false,
+        }
+    }
+
     /// Encodes the datagram, compressed if it is large.
     pub(crate) fn encode(&self) -> Result<Vec<u8>, Failure> {
         let json = serde_json::to_vec(self)?;
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -18,16 +18,28 @@
 
 /// The maximum number of hosts that watch.
 pub const MAX_WATCHERS: usize = 3;
-/// How long a host relies on the last update of a watcher. Watchers send one every second, and a change has to be in
-/// force within two seconds.
-pub const MAX_UPDATE_AGE: Duration = Duration::from_millis(1250);
+/// How long a host relies on the last update of a watcher, as a fraction of the time within which a change has to be in
+/// force. The rest is for the call with which the host then reads the change itself.
+const MAX_UPDATE_AGE_FRACTION: f64 = 0.625;
+/// The interval of updates as a fraction of the time for which hosts rely on them.
+const UPDATE_INTERVAL_FRACTION: f64 = 0.8;
+/// The maximum interval of updates. A watch at the store lasts as long.
+const MAX_UPDATE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The maximum backoff of a host that watches or has no configuration, and the minimum for all other hosts.
 const MAX_WATCHER_BACKOFF: Duration = Duration::from_millis(600);
 /// The maximum backoff of other hosts, per host.
 const BACKOFF_PER_HOST: Duration = Duration::from_millis(25);
-/// The upper bound of that backoff. A change has to be in force soon after the store is available again.
-const MAX_BACKOFF: Duration = Duration::from_secs(2);
+/// The upper bound of that backoff for a host without contact to others. A change has to be in force soon after the store
+/// is available again.
+const MAX_LONE_BACKOFF: Duration = Duration::from_secs(2);
+/// The upper bound for a host that hears from others, which tell it when the store is available.
+const MAX_BACKOFF: Duration = Duration::from_secs(8);
+/// The maximum delay per host before a host that misses updates calls the store. The first host that succeeds sends
+/// updates in place of the watchers, and the others need not call.
+const DEPUTY_DELAY_PER_HOST: Duration = Duration::from_millis(3);
+/// The upper bound of that delay.
+const MAX_DEPUTY_DELAY: Duration = Duration::from_secs(1);
 
 /// An update from a watcher to its peers.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -108,12 +120,28 @@
 }
 
 /// The times at which the state of each kind was last known to be current.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Freshness {
+    max_update_age: Duration,
     current_at: BTreeMap<Kind, Instant>,
 }
 
 impl Freshness {
+    /// Creates the state of a host that knows nothing; a change has to be in force within `change_timeout`.
+    pub fn new(change_timeout: Duration) -> Self {
+        Self {
+            max_update_age: change_timeout.mul_f64(MAX_UPDATE_AGE_FRACTION),
+            current_at: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the interval at which watchers send updates, also without changes.
+    pub fn update_interval(&self) -> Duration {
+        self.max_update_age
+            .mul_f64(UPDATE_INTERVAL_FRACTION)
+            .min(MAX_UPDATE_INTERVAL)
+    }
+
     /// Marks a kind as current.
     pub fn mark_current(&mut self, kind: Kind, now: Instant) {
         self.current_at.insert(kind, now);
@@ -122,7 +150,7 @@
     /// Returns how long a kind still counts as current, which is zero if it does not.
     pub fn remaining(&self, kind: Kind, now: Instant) -> Duration {
         let at = self.current_at.get(&kind);
-        at.map_or(Duration::ZERO, |at| (*at + MAX_UPDATE_AGE).since(now))
+        at.map_or(Duration::ZERO, |at| (*at + self.max_update_age).since(now))
     }
 
     /// Returns the time since a kind was last known to be current, or `None` if it never was.
@@ -133,11 +161,17 @@
 
 /// Returns the maximum backoff between calls to a store that does not respond. Watchers announce when it is available
 /// again, and refused calls cost as much as others, so hosts that serve requests and need not watch call less often.
-pub fn max_backoff(needs_store: bool, hosts: usize) -> Duration {
+pub fn max_backoff(needs_store: bool, hosts: usize, hears_others: bool) -> Duration {
     if needs_store {
         return MAX_WATCHER_BACKOFF;
     }
-    scale_by_hosts(BACKOFF_PER_HOST, hosts).clamp(MAX_WATCHER_BACKOFF, MAX_BACKOFF)
+    let limit = if hears_others { MAX_BACKOFF } else { MAX_LONE_BACKOFF };
+    scale_by_hosts(BACKOFF_PER_HOST, hosts).clamp(MAX_WATCHER_BACKOFF, limit)
+}
+
+/// Returns the maximum of the random delay before a host that misses updates calls the store.
+pub fn max_deputy_delay(hosts: usize) -> Duration {
+    scale_by_hosts(DEPUTY_DELAY_PER_HOST, hosts).min(MAX_DEPUTY_DELAY)
 }
 
 /// Returns whether a host is a watcher. Watchers are the first host of each data centre in the order of a hash of the
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -47,6 +47,8 @@
 const RETURN_SPREAD: Duration = Duration::from_secs(1);
 /// The time after which a process knows nearly all other hosts.
 const MEMBERSHIP_SETTLING_TIME: Duration = Duration::from_secs(3);
+/// The minimum time for which a host takes the place of watchers; up to as much is added at random.
+const DEPUTY_TIME: Duration = Duration::from_secs(3);
 /// How long a host watches the store after others were chosen for it.
 const WATCHER_HANDOVER_TIME: Duration = Duration::from_secs(2);
 /// How long a replaced target is kept for a successor lookup, in case the store turns out to be unreachable.
@@ -68,6 +70,8 @@
     is_store_unreachable: Cell<bool>,
     /// When this host was last among the watchers.
     last_watcher_at: Cell<Option<Instant>>,
+    /// Until when this host watches in place of watchers that send no updates.
+    deputy_until: Cell<Instant>,
     replaced: RefCell<Vec<Replacement>>,
     budget: RefCell<Budget>,
     rollouts: RefCell<Rollouts>,
@@ -111,6 +115,7 @@
             is_fleet_known: Cell::default(),
             is_store_unreachable: Cell::default(),
             last_watcher_at: Cell::default(),
+            deputy_until: Cell::default(),
             replaced: RefCell::default(),
             budget: RefCell::new(Budget::new(settings.limits.retries)),
             rollouts: RefCell::new(Rollouts::new(settings.rollouts, rand::random())),
@@ -349,7 +354,14 @@
             self.last_watcher_at.set(Some(now));
         }
         let last = self.last_watcher_at.get();
-        last.is_some_and(|last| now.since(last) < WATCHER_HANDOVER_TIME)
+        let is_handing_over = last.is_some_and(|last| now.since(last) < WATCHER_HANDOVER_TIME);
+        is_handing_over || now < self.deputy_until.get()
+    }
+
+    /// Lets this host watch the store for its peers for some time, because the watchers send no updates.
+    pub(crate) fn become_deputy(&self) {
+        let duration = DEPUTY_TIME.mul_f64(1.0 + rand::random::<f64>());
+        self.deputy_until.set(self.now() + duration);
     }
 
     /// Returns whether this host accepts new requests: it has a configuration and targets and is not shutting down.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use hawthornpost_core::clock::Instant;
 use hawthornpost_core::id::Entry;
 use hawthornpost_core::membership::{self, Member, Message, State, Table};
 use rand::seq::IndexedRandom;
@@ -28,6 +29,8 @@
 /// The maximum size of the membership updates in one probe. Datagrams are compressed to about a fifth, so one packet
 /// carries them. They are that many only while hosts join or fail in numbers.
 const MAX_UPDATE_BYTES: usize = 6 << 10;
+/// The time without a datagram after which a host may be cut off from the others, which probe it more often.
+const MAX_SILENCE: Duration = Duration::from_secs(1);
 /// The timeout of a direct probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -42,6 +45,8 @@
     peer_revisions: RefCell<BTreeMap<Entry, u64>>,
     revision: Cell<u64>,
     newer_state: Notify,
+    /// When the last datagram arrived.
+    last_heard: Cell<Instant>,
     pub(crate) loads_changed: Notify,
     pub(crate) outbox_changed: Notify,
     /// Datagrams to broadcast at the next `outbox_changed`; if there are none, this host's own state is broadcast.
@@ -85,6 +90,7 @@
             peer_revisions: RefCell::default(),
             revision: Cell::default(),
             newer_state: Notify::new(),
+            last_heard: Cell::default(),
             loads_changed: Notify::new(),
             outbox_changed: Notify::new(),
             outbox: RefCell::default(),
@@ -168,6 +174,16 @@
         self.is_seed
     }
 
+    /// Records the arrival of a datagram.
+    pub(crate) fn record_heard(&self, now: Instant) {
+        self.last_heard.set(now);
+    }
+
+    /// Returns whether other hosts have sent anything in the last second.
+    pub(crate) fn hears_others(&self, now: Instant) -> bool {
+        now.since(self.last_heard.get()) < MAX_SILENCE
+    }
+
     /// Waits until a peer may have newer state.
     pub async fn newer_state(&self) {
         self.newer_state.notified().await;
--- a/crates/gateway/src/peers_runner.rs
+++ b/crates/gateway/src/peers_runner.rs
@@ -176,6 +176,7 @@
 
     fn handle(&self, from: SocketAddr, datagram: Datagram) {
         let now = self.gateway.now();
+        self.peers().record_heard(now);
         match datagram {
             Datagram::Ping { probe, message } => {
                 self.peers().record_state(&message);
@@ -341,9 +342,10 @@
             if datagrams.is_empty() {
                 datagrams.push(self.peers().announcement());
             }
-            let plan = self.peers().plan(RELAYS_PER_DATA_CENTRE);
             for datagram in &datagrams {
-                self.socket.disseminate(&plan, datagram);
+                // Several watchers send each large update, so that it needs no second relay.
+                let relays = if datagram.is_bulk() { 1 } else { RELAYS_PER_DATA_CENTRE };
+                self.socket.disseminate(&self.peers().plan(relays), datagram);
             }
         }
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -78,6 +78,8 @@
 pub struct PlatformSettings {
     /// The address of the store.
     pub address: SocketAddr,
+    /// The time within which a change in the store has to be in force on all hosts.
+    pub change_timeout: Duration,
 }
 
 /// Section `[limits]`.
@@ -173,9 +175,18 @@
     Ok(peers)
 }
 
+/// The format of durations in milliseconds.
+const MILLIS: &str = "a whole number of milliseconds such as 2000";
+/// The time within which changes of the configuration and of targets are in force, if the settings do not tell.
+const DEFAULT_CHANGE_TIMEOUT_MS: u64 = 2000;
+
 fn platform(mut section: Section<'_>) -> Result<PlatformSettings> {
+    let address = section.required("address", ADDRESS)?;
+    let config_apply = section.default("config_apply_ms", MILLIS, DEFAULT_CHANGE_TIMEOUT_MS)?;
+    let drain = section.default("drain_ms", MILLIS, DEFAULT_CHANGE_TIMEOUT_MS)?;
     let platform = PlatformSettings {
-        address: section.required("address", ADDRESS)?,
+        address,
+        change_timeout: Duration::from_millis(config_apply.min(drain)),
     };
     section.finish()?;
     Ok(platform)
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -21,16 +21,14 @@
 use crate::state_fetcher;
 use crate::target::Target;
 
-/// The maximum duration of a watch at the store. Peers rely on a watcher's updates for little longer than this.
-const MAX_WATCH_WAIT: Duration = Duration::from_secs(1);
 /// The minimum pause of a host that does not have to watch.
 const MIN_WATCH_PAUSE: Duration = Duration::from_millis(50);
 /// The maximum pause, after which the host checks whether it is a watcher now.
 const MAX_WATCH_PAUSE: Duration = Duration::from_millis(500);
 /// The delay after changes of targets, in which further changes are collected.
 const CHANGE_BATCH_DELAY: Duration = Duration::from_millis(250);
-/// The maximum size of an update. A larger one would take several times as many packets as hosts.
-const MAX_UPDATE_BYTES: usize = 6 << 10;
+/// The maximum size of an update. Hosts fetch what does not fit.
+const MAX_UPDATE_BYTES: usize = 10 << 10;
 /// The maximum random delay of requests to peers, per host. A few watchers answer the requests of all hosts.
 const FETCH_JITTER_PER_HOST: Duration = Duration::from_millis(10);
 /// The upper bound of that delay.
@@ -56,8 +54,10 @@
 const START_JITTER: Duration = Duration::from_millis(100);
 /// The interval of checks whether peers have sent the state.
 const START_POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// How long newer state is requested from peers, before the store is asked for it.
-const MAX_FETCH_TIME: Duration = Duration::from_millis(600);
+/// How long newer state is requested from peers, before the store is asked for it, while there are few hosts.
+const MIN_FETCH_TIME: Duration = Duration::from_millis(600);
+/// The same per host, because the hosts that have the state send it to the others one after the other.
+const FETCH_TIME_PER_HOST: Duration = Duration::from_millis(4);
 /// The pause after a failed request for it. A peer that is sending state turns others away for about as long.
 const FETCH_RETRY_DELAY: Duration = Duration::from_millis(40);
 
@@ -88,7 +88,7 @@
             platform: Rc::clone(platform),
             registry: Registry::new(gateway),
             unavailable_since: Cell::default(),
-            freshness: RefCell::default(),
+            freshness: RefCell::new(Freshness::new(gateway.settings().platform.change_timeout)),
             announced_config: Cell::default(),
             announced_targets: Cell::default(),
             announced: Notify::new(),
@@ -121,6 +121,13 @@
                 self.gateway.timer().sleep(pause).await;
                 continue;
             }
+            let is_deputy = self.gateway.is_ready() && !self.gateway.is_watcher();
+            if is_deputy {
+                self.delay_as_deputy().await;
+                if !self.must_watch(kind) {
+                    continue;
+                }
+            }
             let since = revision.or_else(|| self.watch_revision(kind));
             let result = match since {
                 Some(since) => self.watch(kind, since).await,
@@ -132,6 +139,9 @@
                     retry_delay = MIN_RETRY_DELAY;
                     self.record_available();
                     self.mark_current(kind);
+                    if is_deputy {
+                        self.gateway.become_deputy();
+                    }
                 }
                 Err(Failure::HistoryGone) => {
                     let listed = self.list(kind).await;
@@ -142,7 +152,8 @@
                 }
                 Err(error) => {
                     self.record_unavailable(&error);
-                    self.gateway.timer().sleep(retry_delay).await;
+                    let jitter = 0.75 + 0.5 * rand::random::<f64>();
+                    self.gateway.timer().sleep(retry_delay.mul_f64(jitter)).await;
                     retry_delay = (retry_delay * 2).min(self.max_backoff());
                 }
             }
@@ -169,12 +180,17 @@
         }
     }
 
+    /// Waits for a random time before a call in place of the watchers. All hosts miss their updates at the same time.
+    async fn delay_as_deputy(&self) {
+        let max_delay = feed::max_deputy_delay(self.gateway.peers().live_hosts());
+        self.gateway.timer().sleep(max_delay.mul_f64(rand::random())).await;
+    }
+
     fn max_backoff(&self) -> Duration {
         let peers = self.gateway.peers();
-        feed::max_backoff(
-            self.gateway.is_watcher() || !self.gateway.is_ready(),
-            peers.live_hosts(),
-        )
+        let needs_store = self.gateway.is_watcher() || !self.gateway.is_ready();
+        let hears_others = peers.hears_others(self.gateway.now());
+        feed::max_backoff(needs_store, peers.live_hosts(), hears_others)
     }
 
     fn must_watch(&self, kind: Kind) -> bool {
@@ -217,7 +233,7 @@
         let wait = if has_lapsed {
             MAX_LAPSED_WATCH_WAIT
         } else {
-            MAX_WATCH_WAIT
+            self.freshness.borrow().update_interval()
         };
         let version = self.gateway.config_version();
         let changes = self.platform.watch(kind, since, wait).await?;
@@ -392,7 +408,7 @@
     /// the version or some time has passed; then from the store.
     async fn fetch_config_version(&self, from: SocketAddr, version: u64, started: Instant) {
         while version > self.gateway.config_version() {
-            if self.gateway.now().since(started) >= MAX_FETCH_TIME {
+            if self.gateway.now().since(started) >= self.max_fetch_time() {
                 if let Err(error) = self.list(Kind::Config).await {
                     log::debug!("cannot read configuration version {version} from the store: {error}");
                 }
@@ -408,7 +424,7 @@
     /// passed; then from the store.
     async fn fetch_targets_revision(&self, revision: u64, started: Instant) {
         while revision > self.gateway.fleet_revision() {
-            if self.gateway.now().since(started) >= MAX_FETCH_TIME {
+            if self.gateway.now().since(started) >= self.max_fetch_time() {
                 if let Err(error) = self.list(Kind::Targets).await {
                     log::debug!("cannot read the targets as of revision {revision} from the store: {error}");
                 }
@@ -422,6 +438,10 @@
         }
     }
 
+    fn max_fetch_time(&self) -> Duration {
+        MIN_FETCH_TIME.max(scale_by_hosts(FETCH_TIME_PER_HOST, self.gateway.peers().live_hosts()))
+    }
+
     async fn delay_retry(&self, is_needed: bool) {
         if is_needed {
             let delay = FETCH_RETRY_DELAY.mul_f64(0.5 + rand::random::<f64>());
