Avoid targets that refuse while others take work

Change: a target that refused is avoided for 0.25 s, doubled with each further refusal up to 2 s, while others take work; a response ends it. Test: fleet engines_that_refuse_are_avoided_while_others_work.

--- a/crates/gateway/src/availability.rs
+++ b/crates/gateway/src/availability.rs
@@ -10,6 +10,12 @@
 /// How long the share of work that a target gets grows after a pause that it asked for.
 const RETURN_DURATION: Duration = Duration::from_secs(1);
 
+/// How long a target that refused a request without asking for a pause is avoided while others take work. It doubles with
+/// each further refusal up to [`MAX_REFUSAL_BACKOFF`].
+const MIN_REFUSAL_BACKOFF: Duration = Duration::from_millis(250);
+/// The maximum time for which it is avoided.
+const MAX_REFUSAL_BACKOFF: Duration = Duration::from_secs(2);
+
 /// Whether a target may take new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Availability {
@@ -29,6 +35,10 @@
     is_replaced: bool,
     suspect_until: Instant,
     paused_until: Instant,
+    /// The end of the time in which the target is avoided because it refused requests.
+    avoided_until: Instant,
+    /// The number of refusals since the last response.
+    refusals: u32,
 }
 
 impl State {
@@ -71,6 +81,24 @@
         self.paused_until = self.paused_until.max(until);
     }
 
+    /// Records that the target refused a request without asking for a pause.
+    pub(crate) fn record_refusal(&mut self, now: Instant) {
+        let backoff = MIN_REFUSAL_BACKOFF.saturating_mul(2_u32.saturating_pow(self.refusals));
+        self.refusals = self.refusals.saturating_add(1);
+        self.avoided_until = now + backoff.min(MAX_REFUSAL_BACKOFF);
+    }
+
+    /// Records that the target ran a request.
+    pub(crate) fn record_response(&mut self) {
+        self.refusals = 0;
+        self.avoided_until = Instant::ZERO;
+    }
+
+    /// Returns whether the target is avoided because it refused requests.
+    pub(crate) fn is_avoided(&self, now: Instant) -> bool {
+        now < self.avoided_until
+    }
+
     /// Records that another incarnation has the target's address.
     pub(crate) fn replace(&mut self) {
         self.is_replaced = true;
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -254,6 +254,20 @@
         }
     }
 
+    /// Records that a target refused a request without asking for a pause.
+    pub fn record_refusal(&mut self, now: Instant, id: &str) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.state.record_refusal(now);
+        }
+    }
+
+    /// Records that a target ran a request.
+    pub fn record_response(&mut self, id: &str) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.state.record_response();
+        }
+    }
+
     /// Records that an incarnation is leaving, also one that is not known yet. Returns whether that is new.
     pub fn record_departure(&mut self, now: Instant, departure: &Departure) -> bool {
         let is_new = self.departures.add(now, departure);
@@ -486,10 +500,11 @@
         let tiers = costs.map(|(cost, is_suspect, member)| {
             let is_full = cost >= FULL_MEMORY_PENALTY_MS;
             let is_returning = member.state.share(now) < admitted_share;
-            ((is_suspect, is_full, is_returning), cost, member)
+            let is_avoided = member.state.is_avoided(now) || is_returning;
+            ((is_suspect, is_full, is_avoided), cost, member)
         });
         let mut candidates = tiers.collect::<Vec<_>>();
-        // Suspect targets, full engines and some that return from a pause are only used when there are no others.
+        // Suspect targets, full engines, and those that refuse or return from a pause are only used when there are no others.
         let best = candidates.iter().map(|(tier, ..)| *tier).min();
         candidates.retain(|(tier, ..)| Some(*tier) == best);
         // The random addition makes hosts that choose at the same time, as after a crash, choose different targets of
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -46,8 +46,11 @@
             .borrow_mut()
             .record_report(gateway.now(), &target.id, report);
     }
-    if let Some(pause) = &reply.pause {
-        gateway.record_pause(target, pause);
+    match (&reply.pause, reply.refusal) {
+        (Some(pause), _) => gateway.record_pause(target, pause),
+        (None, Some(Refusal::Rejected)) => gateway.fleet().borrow_mut().record_refusal(gateway.now(), &target.id),
+        (None, Some(Refusal::Misdirected)) => {}
+        (None, None) => gateway.fleet().borrow_mut().record_response(&target.id),
     }
     if reply.refusal == Some(Refusal::Misdirected) {
         gateway.record_replaced(target, reply.instance.as_deref());
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -311,3 +311,34 @@
     fleet.put(started(2));
     assert_eq!(fleet.availability(NOW, "a0"), Some(Availability::Available));
 }
+
+/// Half of the engines refuse all requests without asking for a pause. Guards against streams that are offered to them
+/// again and again until the retry budget is used up (578 of 829 arrivals were refused on such a day), and against engines
+/// that are avoided after they work again.
+#[test]
+fn engines_that_refuse_are_avoided_while_others_work() {
+    let mut fleet = fleet();
+    let refusing = fleet
+        .targets()
+        .map(|target| target.id.clone())
+        .step_by(2)
+        .collect::<Vec<_>>();
+    let mut refusals = 0;
+    for step in 0..500 {
+        let now = NOW + Duration::from_millis(step * 20);
+        let chosen = fleet.choose_stream(now, POOL, NEED).expect("a target").id.clone();
+        if refusing.contains(&chosen) {
+            refusals += 1;
+            fleet.record_refusal(now, &chosen);
+        } else {
+            fleet.record_response(&chosen);
+        }
+    }
+    assert!(refusals <= 75, "{refusals} of 500 refused");
+    for id in &refusing {
+        fleet.record_response(id);
+    }
+    let now = NOW + Duration::from_secs(10);
+    let chosen = (0..400).map(|_| fleet.choose_stream(now, POOL, NEED).expect("a target").id.clone());
+    assert!(chosen.filter(|id| refusing.contains(id)).count() > 120);
+}
