Split the synchronizer, the fleet and the gateway's state by job

Cause: sync.rs had grown to 617 lines, gateway.rs to 575 and fleet.rs to 524, each with several jobs. Change: code moves only. The updates of watchers and the requests to peers leave sync; the choice of targets, their loads and their usability leave fleet; what is learned of targets and the duty of a watcher leave gateway.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -1,19 +1,22 @@
 //! The known targets with their load and recent failures, and load balancing among them.
 
+mod choice;
+mod loads;
+mod usability;
+
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 
 use hawthornpost_core::clock::Instant;
+use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use rand::seq::IndexedRandom;
-use rand::{RngExt, SeedableRng};
 
-use crate::availability::{Availability, State};
-use crate::departures::{Departure, Departures};
+use crate::availability::State;
+use crate::departures::Departures;
 use crate::load::Load;
-use crate::member::{FULL_MEMORY_PENALTY_MS, Member};
-use crate::peer_loads::{self, Change};
+use crate::member::Member;
+use crate::peer_loads;
 use crate::target::Target;
 use crate::versions::Versions;
 
@@ -23,16 +26,6 @@
 const DATA_CENTRE_SUSPECT_DURATION: Duration = Duration::from_millis(1200);
 /// How long a removed target is remembered. A server that leaves ends within this time.
 const REMOVED_RETENTION: Duration = Duration::from_secs(60);
-/// The maximum random addition to the cost of a call, as a multiple of a target's slots.
-const MAX_CALL_JITTER: f64 = 0.05;
-/// The number of random engines from which the cheapest is chosen for a stream when there are many peers. The cheapest
-/// of all engines would get the streams of every host that chooses before it receives the reports of the others.
-const STREAM_SAMPLE_SIZE: usize = 4;
-/// The number of peers from which engines are sampled. With fewer peers, each host knows most of their load, and the
-/// cheapest of all engines is chosen.
-const MIN_PEERS_FOR_SAMPLING: usize = 16;
-/// The maximum random addition to the cost of a stream, in milliseconds of prefill.
-const MAX_STREAM_JITTER_MS: f64 = 200.0;
 /// The weight of the latest outcome in a target's failure rate.
 const FAILURE_RATE_WEIGHT: f64 = 0.1;
 
@@ -207,88 +200,6 @@
         })
     }
 
-    /// Returns whether a target may take over a stream of which it holds a copy.
-    pub fn is_usable(&self, now: Instant, id: &str) -> bool {
-        let member = self.members.get(id);
-        member.is_some_and(|member| {
-            let availability = member.state.availability(now, member.target.is_leaving, Instant::ZERO);
-            availability == Availability::Available
-        })
-    }
-
-    /// Returns whether a target may take new work; `None` if it is unknown.
-    pub fn availability(&self, now: Instant, id: &str) -> Option<Availability> {
-        self.members.get(id).map(|member| self.member_availability(now, member))
-    }
-
-    fn member_availability(&self, now: Instant, member: &Member) -> Availability {
-        let suspect_until = self.data_centre_suspect_until(&member.target);
-        member.state.availability(now, member.target.is_leaving, suspect_until)
-    }
-
-    fn data_centre_suspect_until(&self, target: &Target) -> Instant {
-        let mut data_centres = self.suspect_data_centres.iter();
-        let suspected = data_centres
-            .find(|((service, data_centre), _)| *service == target.service && *data_centre == target.data_centre);
-        suspected.map_or(Instant::ZERO, |(_, until)| *until)
-    }
-
-    /// Returns when the first target of a service takes work again, if all that are left have asked for a pause.
-    pub fn paused_until(&self, now: Instant, service: &str) -> Option<Instant> {
-        let members = self.members.values();
-        let mut first = None;
-        for member in members.filter(|member| member.target.service == service) {
-            match self.member_availability(now, member) {
-                Availability::Gone => {}
-                Availability::Paused(until) => first = Some(first.map_or(until, |first: Instant| first.min(until))),
-                Availability::Available | Availability::Suspect(_) => return None,
-            }
-        }
-        first
-    }
-
-    /// Pauses new work for a target that asked for it.
-    pub fn pause(&mut self, id: &str, until: Instant) {
-        if let Some(member) = self.members.get_mut(id) {
-            member.state.pause(until);
-        }
-    }
-
-    /// Records that a target refused a request without asking for a pause.
-    pub fn record_refusal(&mut self, now: Instant, id: &str) {
-        if let Some(member) = self.members.get_mut(id) {
-            member.state.record_refusal(now);
-        }
-    }
-
-    /// Records that a target ran a request.
-    pub fn record_response(&mut self, id: &str) {
-        if let Some(member) = self.members.get_mut(id) {
-            member.state.record_response();
-        }
-    }
-
-    /// Records that an incarnation is leaving, also one that is not known yet. Returns whether that is new.
-    pub fn record_departure(&mut self, now: Instant, departure: &Departure) -> bool {
-        let is_new = self.departures.add(now, departure);
-        if let Some(member) = self.members.get_mut(&departure.id)
-            && departure.includes(&member.target)
-        {
-            Rc::make_mut(&mut member.target).is_leaving = true;
-        }
-        is_new
-    }
-
-    /// Returns the incarnations that have announced in the last seconds that they are leaving.
-    pub fn recent_departures(&self, now: Instant) -> Vec<Departure> {
-        self.departures.recent(now)
-    }
-
-    /// Returns the incarnations that have announced that they are leaving.
-    pub fn departures(&self) -> impl Iterator<Item = &Departure> {
-        self.departures.iter()
-    }
-
     /// Removes a target and remembers its id for some time.
     pub fn remove(&mut self, now: Instant, id: &str) {
         self.removed.retain(|_, at| now.since(*at) < REMOVED_RETENTION);
@@ -311,67 +222,6 @@
         self.members.is_empty()
     }
 
-    /// Returns the load from this host on a target.
-    pub fn own_load(&self, id: &str) -> Load {
-        self.members.get(id).map_or(Load::default(), |member| member.own_load)
-    }
-
-    /// Returns the loads of streams and backups from this host by target.
-    pub fn own_loads(&self) -> BTreeMap<String, Load> {
-        let loaded = self
-            .members
-            .iter()
-            .filter(|(_, member)| member.own_load.streams > 0 || member.own_load.memory_tokens > 0);
-        loaded.map(|(id, member)| (id.clone(), member.own_load)).collect()
-    }
-
-    /// Adds load from this host.
-    pub fn add_load(&mut self, id: &str, load: Load) {
-        if let Some(member) = self.members.get_mut(id) {
-            member.own_load.add(load);
-        }
-    }
-
-    /// Subtracts load from this host.
-    pub fn remove_load(&mut self, id: &str, load: Load) {
-        if let Some(member) = self.members.get_mut(id) {
-            member.own_load.subtract(load);
-        }
-    }
-
-    /// Merges the load report of a peer, which is incremental: it names the targets where its load has changed and some
-    /// others.
-    pub fn merge_peer(&mut self, now: Instant, peer: &str, report: &BTreeMap<String, Load>) {
-        let changes = self.peer_loads.merge(now, peer, report);
-        self.apply_load_changes(changes);
-    }
-
-    /// Removes the load of a peer.
-    pub fn remove_peer(&mut self, peer: &str) {
-        let changes = self.peer_loads.remove(peer);
-        self.apply_load_changes(changes);
-    }
-
-    /// Removes peers without recent reports, and entries that were not refreshed.
-    pub fn expire_peers(&mut self, now: Instant) {
-        let changes = self.peer_loads.expire(now);
-        self.apply_load_changes(changes);
-    }
-
-    fn apply_load_changes(&mut self, changes: Vec<Change>) {
-        for change in changes {
-            if let Some(member) = self.members.get_mut(&change.target) {
-                member.peer_load.subtract(change.before);
-                member.peer_load.add(change.after);
-            }
-        }
-    }
-
-    /// Returns the load from peers on a target.
-    pub fn peer_load(&self, id: &str) -> Load {
-        self.members.get(id).map_or(Load::default(), |member| member.peer_load)
-    }
-
     /// Stores the load report of a target.
     pub fn record_report(&mut self, now: Instant, id: &str, report: Report) {
         if let Some(member) = self.members.get_mut(id) {
@@ -434,88 +284,6 @@
         })
     }
 
-    /// Chooses a target for a call by its load per slot and its failure rate.
-    pub fn choose_call(&mut self, now: Instant, criteria: Criteria<'_>) -> Option<Rc<Target>> {
-        self.choose(now, criteria, usize::MAX, MAX_CALL_JITTER, |member| {
-            member.call_cost(now)
-        })
-    }
-
-    /// Chooses the engine for a stream at which the estimated time to prefill the prompt is shortest.
-    pub fn choose_stream(&mut self, now: Instant, criteria: Criteria<'_>, need: Need) -> Option<Rc<Target>> {
-        let sample_size = self.stream_sample_size();
-        self.choose(now, criteria, sample_size, MAX_STREAM_JITTER_MS, |member| {
-            member.stream_cost(need)
-        })
-    }
-
-    fn stream_sample_size(&self) -> usize {
-        if self.peer_loads.len() < MIN_PEERS_FOR_SAMPLING {
-            usize::MAX
-        } else {
-            STREAM_SAMPLE_SIZE
-        }
-    }
-
-    /// Chooses an engine in another data centre for the backup of a stream.
-    pub fn choose_backup(
-        &mut self,
-        now: Instant,
-        primary: &Target,
-        criteria: Criteria<'_>,
-        need: Need,
-    ) -> Option<Rc<Target>> {
-        let cost = |member: &Member| {
-            if member.target.data_centre == primary.data_centre || member.target.id == primary.id {
-                return f64::INFINITY;
-            }
-            member.backup_cost(need)
-        };
-        let sample_size = self.stream_sample_size();
-        self.choose(now, criteria, sample_size, MAX_STREAM_JITTER_MS, cost)
-    }
-
-    fn choose(
-        &mut self,
-        now: Instant,
-        criteria: Criteria<'_>,
-        sample_size: usize,
-        jitter: f64,
-        cost: impl Fn(&Member) -> f64,
-    ) -> Option<Rc<Target>> {
-        let available = self.members.values().filter_map(|member| {
-            let availability = self.member_availability(now, member);
-            let is_suspect = matches!(availability, Availability::Suspect(_));
-            let may_work = is_suspect || availability == Availability::Available;
-            (may_work && member.meets(criteria)).then_some((member, is_suspect))
-        });
-        let eligible = available.collect::<Vec<_>>();
-        let filter = criteria
-            .versions
-            .filter(eligible.iter().map(|(member, _)| &*member.target));
-        let admitted = eligible.iter().filter(|(member, _)| filter.admits(&member.target));
-        let costs = admitted.map(|(member, is_suspect)| (cost(member), *is_suspect, *member));
-        let costs = costs.filter(|(cost, ..)| cost.is_finite());
-        let admitted_share = self.random.random::<f64>();
-        let tiers = costs.map(|(cost, is_suspect, member)| {
-            let is_full = cost >= FULL_MEMORY_PENALTY_MS;
-            let is_returning = member.state.share(now) < admitted_share;
-            let is_avoided = member.state.is_avoided(now) || is_returning;
-            ((is_suspect, is_full, is_avoided), cost, member)
-        });
-        let mut candidates = tiers.collect::<Vec<_>>();
-        // Suspect targets, full engines, and those that refuse or return from a pause are only used when there are no others.
-        let best = candidates.iter().map(|(tier, ..)| *tier).min();
-        candidates.retain(|(tier, ..)| Some(*tier) == best);
-        // The random addition makes hosts that choose at the same time, as after a crash, choose different targets of
-        // similar cost.
-        let costs = candidates
-            .sample(&mut self.random, sample_size)
-            .map(|(_, cost, member)| (cost + self.random.random::<f64>() * jitter, member));
-        let best = costs.min_by(|(one, _), (other, _)| one.total_cmp(other));
-        best.map(|(_, member)| Rc::clone(&member.target))
-    }
-
     /// Returns the versions of a service's targets.
     pub fn versions_of(&self, service: &str) -> BTreeSet<String> {
         let targets = self.targets().filter(|target| target.service == service);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,12 +3,13 @@
 mod admission;
 mod body_bytes;
 mod reservation;
+mod targets;
+mod watcher;
 
 use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use hawthornpost_core::clock::Instant;
 use hawthornpost_daemon::timer::Timer;
@@ -17,9 +18,7 @@
 use crate::budget::Budget;
 use crate::config::{Config, Limits};
 use crate::config_delta::{self, Delta};
-use crate::departures::Departure;
-use crate::dialect::{Dialect, Pause};
-use crate::duration::millis;
+use crate::dialect::Dialect;
 use crate::event::Event;
 use crate::fleet::Fleet;
 use crate::idle_timer;
@@ -32,7 +31,7 @@
 use crate::route::Table;
 use crate::settings::{LimitSettings, Settings};
 use crate::state_sender::Sender;
-use crate::successor::{self, Replacement};
+use crate::successor::Replacement;
 use crate::target::Target;
 use crate::trial::{Observation, Outcome};
 use crate::versions::Versions;
@@ -41,19 +40,6 @@
 pub use body_bytes::BodyBytes;
 pub use reservation::Reservation;
 
-/// The longest pause that a target gets. A value beyond it is more likely an error than a wish.
-const MAX_PAUSE: Duration = Duration::from_secs(600);
-/// The time over which refused callers return after the pause of all targets.
-const RETURN_SPREAD: Duration = Duration::from_secs(1);
-/// The time after which a process knows nearly all other hosts.
-const MEMBERSHIP_SETTLING_TIME: Duration = Duration::from_secs(3);
-/// The minimum time for which a host takes the place of watchers; up to as much is added at random.
-const DEPUTY_TIME: Duration = Duration::from_secs(3);
-/// How long a host watches the store after others were chosen for it.
-const WATCHER_HANDOVER_TIME: Duration = Duration::from_secs(2);
-/// How long a replaced target is kept for a successor lookup, in case the store turns out to be unreachable.
-const REPLACED_TTL: Duration = Duration::from_secs(5);
-
 /// The shared state of a process; all tasks run on one single-threaded event loop.
 pub struct Gateway {
     settings: Settings,
@@ -341,34 +327,6 @@
         &self.peers
     }
 
-    /// Returns whether this host watches the store for its peers. Shortly after its start it knows too few hosts to tell,
-    /// so the seeds do. A host goes on for some time after others have taken over, because they start later.
-    pub(crate) fn is_watcher(&self) -> bool {
-        let now = self.now();
-        let is_chosen = if now.since_start() < MEMBERSHIP_SETTLING_TIME {
-            self.peers.is_seed()
-        } else {
-            self.peers.is_watcher()
-        };
-        if is_chosen {
-            self.last_watcher_at.set(Some(now));
-        }
-        let last = self.last_watcher_at.get();
-        let is_handing_over = last.is_some_and(|last| now.since(last) < WATCHER_HANDOVER_TIME);
-        is_handing_over || now < self.deputy_until.get()
-    }
-
-    /// Lets this host watch the store for its peers for some time, because the watchers send no updates.
-    pub(crate) fn become_deputy(&self) {
-        let duration = DEPUTY_TIME.mul_f64(1.0 + rand::random::<f64>());
-        self.deputy_until.set(self.now() + duration);
-    }
-
-    /// Ends the duty of [`Self::become_deputy`], because this host cannot reach the store either.
-    pub(crate) fn resign_as_deputy(&self) {
-        self.deputy_until.set(Instant::ZERO);
-    }
-
     /// Returns whether this host accepts new requests: it has a configuration and targets and is not shutting down.
     pub fn is_ready(&self) -> bool {
         self.phase() == Phase::Running && self.config_version() > 0 && self.is_fleet_known.get()
@@ -452,110 +410,6 @@
         &self.response_memory
     }
 
-    /// Marks a target as suspected and reports it to the other hosts.
-    pub(crate) fn suspect(&self, target: &Target, reason: &str) {
-        let was_usable = self.fleet.borrow().is_usable(self.now(), &target.id);
-        let whole_data_centre = self.fleet.borrow_mut().suspect(self.now(), &target.id);
-        if was_usable {
-            self.peers.broadcast_suspect(&target.id);
-        }
-        Event::TargetSuspected {
-            target: &target.id,
-            data_centre: &target.data_centre,
-            whole_data_centre,
-            reason,
-            what: "a target failed and gets no new requests for a limited time",
-        }
-        .log();
-    }
-
-    /// Records that a target announced that it is leaving, and tells the other hosts.
-    pub(crate) fn record_leaving(&self, departure: &Departure) {
-        if self.add_departure(departure, "target") {
-            self.peers.broadcast_leaving(departure);
-        }
-    }
-
-    /// Records that an incarnation is leaving; returns whether that is new.
-    pub(crate) fn add_departure(&self, departure: &Departure, source: &str) -> bool {
-        let is_new = self.fleet.borrow_mut().record_departure(self.now(), departure);
-        if is_new {
-            Event::TargetLeaving {
-                target: &departure.id,
-                source,
-                what: "a target is leaving and gets no new requests",
-            }
-            .log();
-        }
-        is_new
-    }
-
-    /// Pauses work for an overloaded target that asked for it.
-    pub(crate) fn record_pause(&self, target: &Target, pause: &Pause) {
-        let (pause, asked) = match pause {
-            Pause::For(pause) => ((*pause).min(MAX_PAUSE), pause.as_secs_f64().to_string()),
-            Pause::Invalid(value) => (Duration::ZERO, value.clone()),
-        };
-        self.fleet.borrow_mut().pause(&target.id, self.now() + pause);
-        Event::TargetPaused {
-            target: &target.id,
-            pause_ms: millis(pause),
-            asked: &asked,
-            what: "an overloaded target asked for a pause and gets no requests until its end",
-        }
-        .log();
-    }
-
-    /// Returns the `Retry-After` of a refused request: when all targets of the service have asked for a pause, the time
-    /// until the first of them works again, spread over some time, and else `default`.
-    pub(crate) fn retry_after(&self, service: &str, default: Duration) -> Duration {
-        let now = self.now();
-        let until = self.fleet.borrow().paused_until(now, service);
-        until.map_or(default, |until| {
-            until.since(now) + RETURN_SPREAD.mul_f64(rand::random())
-        })
-    }
-
-    /// Records that another incarnation responds at a target's address. Looks the incarnation up directly while the store
-    /// is unreachable.
-    pub(crate) fn record_replaced(self: &Rc<Self>, target: &Rc<Target>, instance: Option<&str>) {
-        self.fleet.borrow_mut().mark_replaced(&target.id);
-        self.peers.broadcast_replaced(&target.id, None);
-        Event::TargetReplaced {
-            target: &target.id,
-            successor: instance.unwrap_or_default(),
-            what: "another incarnation responds at the target's address",
-        }
-        .log();
-        let Some(instance) = instance else {
-            return;
-        };
-        if self.is_store_unreachable.get() {
-            successor::verify(self, target, instance);
-            return;
-        }
-        // The store lists the new incarnation within a second, unless it has just become unreachable.
-        let now = self.now();
-        let mut replaced = self.replaced.borrow_mut();
-        replaced.retain(|known| now.since(known.at) < REPLACED_TTL);
-        replaced.push(Replacement {
-            target: Rc::clone(target),
-            instance: instance.to_owned(),
-            at: now,
-        });
-    }
-
-    /// Records whether the store is unreachable for this host and its live peers. While it is, successors of replaced
-    /// targets are looked up directly.
-    pub(crate) fn set_store_unreachable(self: &Rc<Self>, is_unreachable: bool) {
-        if self.is_store_unreachable.replace(is_unreachable) || !is_unreachable {
-            return;
-        }
-        for replaced in self.replaced.take() {
-            successor::verify(self, &replaced.target, &replaced.instance);
-        }
-    }
-
     /// Wakes the load reporter for streams: a single host serves too few of them to balance them well without the load of
     /// its peers.
     fn report_load(&self, load: Load) {
