--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -29,7 +29,7 @@
     let record = &world.record;
     let old = world.start_version(1, 0);
     let mut gateways = world.start_gateways();
-    let traffic = world.start_traffic(&gateways);
+    let traffic = world.start_traffic(&gateways, world::RATE);
     thread::sleep(Duration::from_secs(2));
     let new = world.start_version(2, 0);
     let ordered = world.order("v2", ORDER);
@@ -51,7 +51,10 @@
         record.say(&format!("gateway {FROZEN} wakes"));
     }
     if !is_rolled_back {
-        world::give_up(record, "the gateways that run did not roll the version back before its deadline");
+        world::give_up(
+            record,
+            "the gateways that run did not roll the version back before its deadline",
+        );
     }
     let mut has_stopped_old = false;
     while record.now() < rolled_back + ROLLED_BACK_STAY {
@@ -66,7 +69,7 @@
     new.iter().for_each(|server| server.register(&world.store, "draining"));
     record.say("the servers of v2 drain");
     thread::sleep(Duration::from_secs(4));
-    traffic.stop(record);
+    let _answers = traffic.stop(record);
     if gateways.iter_mut().any(Gateway::has_ended) {
         world::give_up(record, "a gateway ended by itself");
     }
@@ -78,8 +81,9 @@
     };
     let frozen = format!("g{FROZEN}-");
     let out_of_touch = ordered + FREEZE_AT..thaw + CONTACT;
-    let is_in_touch =
-        |arrival: &Arrival| !world::has_trouble() || !arrival.id.starts_with(&frozen) || !out_of_touch.contains(&arrival.at);
+    let is_in_touch = |arrival: &Arrival| {
+        !world::has_trouble() || !arrival.id.starts_with(&frozen) || !out_of_touch.contains(&arrival.at)
+    };
     let is_broken = exposure.is_broken(record, is_in_touch);
     drop(gateways);
     std::process::exit(i32::from(is_broken));
--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -26,7 +26,7 @@
         (Vec::new(), world.start_version(2, 0))
     };
     let mut gateways = world.start_gateways();
-    let traffic = world.start_traffic(&gateways);
+    let traffic = world.start_traffic(&gateways, world::RATE);
     if world::has_trouble() {
         thread::sleep(Duration::from_secs(2));
         good = world.start_version(2, 0);
@@ -48,7 +48,7 @@
         thread::sleep(Duration::from_secs(2));
     }
     sleep_until(record, ordered + BAD_ORDER);
-    traffic.stop(record);
+    let _answers = traffic.stop(record);
     if gateways.iter_mut().any(Gateway::has_ended) {
         world::give_up(record, "a gateway ended by itself");
     }
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -22,7 +22,7 @@
     let record = &world.record;
     let old = world.start_version(1, 0);
     let mut gateways = world.start_gateways();
-    let traffic = world.start_traffic(&gateways);
+    let traffic = world.start_traffic(&gateways, world::RATE);
     thread::sleep(Duration::from_secs(2));
     let new = world.start_version(2, 0);
     let ordered = world.order("v2", ORDER);
@@ -47,14 +47,21 @@
         None => {}
     }
     sleep_until(record, ordered + ORDER + Duration::from_secs(12));
-    traffic.stop(record);
+    let _answers = traffic.stop(record);
     if gateways.iter_mut().any(Gateway::has_ended) {
         world::give_up(record, "a gateway ended by itself");
     }
-    let in_trial = world::arrivals(&new).into_iter().filter(|arrival| arrival.at < verdict_at);
-    let in_trial = in_trial.filter(|arrival| arrival.at > ordered + BAD_AT).collect::<Vec<_>>();
+    let in_trial = world::arrivals(&new)
+        .into_iter()
+        .filter(|arrival| arrival.at < verdict_at);
+    let in_trial = in_trial
+        .filter(|arrival| arrival.at > ordered + BAD_AT)
+        .collect::<Vec<_>>();
     let bad = in_trial.iter().filter(|arrival| arrival.is_bad).count();
-    record.say(&format!("after the change and before the verdict, v2 failed {bad} of {} requests", in_trial.len()));
+    record.say(&format!(
+        "after the change and before the verdict, v2 failed {bad} of {} requests",
+        in_trial.len()
+    ));
     let exposure = Exposure {
         ordered,
         deadline: ordered + ORDER,
--- a/review/standins/caller.rs
+++ b/review/standins/caller.rs
@@ -20,7 +20,9 @@
 impl Answer {
     pub fn header(&self, name: &str) -> Option<&str> {
         let mut headers = self.headers.iter();
-        headers.find(|(key, _)| key.eq_ignore_ascii_case(name)).map(|(_, value)| value.as_str())
+        headers
+            .find(|(key, _)| key.eq_ignore_ascii_case(name))
+            .map(|(_, value)| value.as_str())
     }
 }
 
@@ -51,7 +53,11 @@
 fn read_answer(stream: TcpStream) -> io::Result<Answer> {
     let mut reader = BufReader::new(stream);
     let (line, headers) = http::read_head(&mut reader)?.ok_or(io::ErrorKind::UnexpectedEof)?;
-    let status = line.split(' ').nth(1).and_then(|status| status.parse().ok()).ok_or(io::ErrorKind::InvalidData)?;
+    let status = line
+        .split(' ')
+        .nth(1)
+        .and_then(|status| status.parse().ok())
+        .ok_or(io::ErrorKind::InvalidData)?;
     let body = http::read_body(&mut reader, &headers, true)?;
     Ok(Answer { status, headers, body })
 }
--- a/review/standins/deployment.rs
+++ b/review/standins/deployment.rs
@@ -2,6 +2,7 @@
 
 use std::fs::{self, File};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -18,8 +19,13 @@
 const COMMAND: &str = "target/release/hawthornpost-gateway";
 const TEMPLATE: &str = "deploy/gateway.ini";
 
+/// The option of `prctl` that names the signal which a process gets when the thread that started it ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: usize = 9;
+
 unsafe extern "C" {
     fn kill(process: i32, signal: i32) -> i32;
+    fn prctl(option: i32, ...) -> i32;
 }
 
 /// The addresses and files of a run.
@@ -66,7 +72,10 @@
     pub fn start_gateway(&self, number: u8, log_level: &str) -> Gateway {
         let ip = self.ip(10 + number);
         let name = format!("edge-{}-{number}", ZONES[usize::from(number) % 3]);
-        let seeds = (0..3).map(|seed| format!("{}:8748", self.ip(10 + seed))).collect::<Vec<_>>().join(",");
+        let seeds = (0..3)
+            .map(|seed| format!("{}:8748", self.ip(10 + seed)))
+            .collect::<Vec<_>>()
+            .join(",");
         let values = [
             ("node-name", name.clone()),
             ("zone", ZONES[usize::from(number) % 3].to_owned()),
@@ -93,7 +102,10 @@
         for (key, value) in values {
             text = text.replace(&format!("{{{{{key}}}}}"), &value);
         }
-        assert!(!text.contains("{{"), "a placeholder of the template has no value: {text}");
+        assert!(
+            !text.contains("{{"),
+            "a placeholder of the template has no value: {text}"
+        );
         let text = text.replace("level = info", &format!("level = {log_level}"));
         let config = self.directory.join(format!("{name}.ini"));
         fs::write(&config, text).expect("the settings can be written");
@@ -110,15 +122,27 @@
 }
 
 fn spawn(config: &Path, log: &Path) -> Child {
-    let log = File::options().create(true).append(true).open(log).expect("the log can be opened");
-    Command::new(COMMAND)
+    let log = File::options()
+        .create(true)
+        .append(true)
+        .open(log)
+        .expect("the log can be opened");
+    let mut command = Command::new(COMMAND);
+    command
         .env_clear()
         .env("HAWTHORNPOST_CONFIG", config)
         .stdin(Stdio::null())
         .stderr(log.try_clone().expect("a descriptor"))
-        .stdout(log)
-        .spawn()
-        .expect("the gateway starts; build it first")
+        .stdout(log);
+    // The gateway ends with this program, also when that is killed.
+    // SAFETY: the call takes plain numbers and is allowed between fork and exec.
+    unsafe {
+        command.pre_exec(|| {
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
+            Ok(())
+        });
+    }
+    command.spawn().expect("the gateway starts; build it first")
 }
 
 impl Gateway {
--- a/review/standins/engine.rs
+++ b/review/standins/engine.rs
@@ -89,7 +89,14 @@
 
     /// Writes the server's entry into the store.
     pub fn register(&self, store: &Store, state: &str) {
-        let Self { service, address, zone, version, born, .. } = self;
+        let Self {
+            service,
+            address,
+            zone,
+            version,
+            born,
+            ..
+        } = self;
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
         store.put(
             "servers",
@@ -134,7 +141,10 @@
         };
         let expected = request.header("x-hawthornpost-expect-instance");
         if expected.is_some_and(|expected| expected != self.id) {
-            let headers = [("X-Hawthornpost-Attempt-Id", id), ("X-Hawthornpost-Instance-Id", &self.id)];
+            let headers = [
+                ("X-Hawthornpost-Attempt-Id", id),
+                ("X-Hawthornpost-Instance-Id", &self.id),
+            ];
             return http::respond(stream, 421, &headers, b"");
         }
         let is_bad = {
@@ -142,12 +152,23 @@
             // Spread evenly: with 3 of 10, the requests 0, 4 and 7 of each ten fail.
             let failures = self.failures_in_ten.load(Ordering::Relaxed);
             let is_bad = arrivals.len() as u64 * failures % 10 < failures;
-            arrivals.push(Arrival { at: self.record.now(), id: id.to_owned(), is_bad });
+            arrivals.push(Arrival {
+                at: self.record.now(),
+                id: id.to_owned(),
+                is_bad,
+            });
             is_bad
         };
-        self.record.line(&format!("server {} runs {id}{}", self.id, if is_bad { " and fails" } else { "" }));
+        self.record.line(&format!(
+            "server {} runs {id}{}",
+            self.id,
+            if is_bad { " and fails" } else { "" }
+        ));
         let stamp = format!("stamp-of-{}", self.id);
-        let headers = [("X-Hawthornpost-Attempt-Id", id), ("X-Hawthornpost-Server-Stamp", stamp.as_str())];
+        let headers = [
+            ("X-Hawthornpost-Attempt-Id", id),
+            ("X-Hawthornpost-Server-Stamp", stamp.as_str()),
+        ];
         if is_bad {
             return http::respond(stream, 500, &headers, b"failed");
         }
@@ -155,7 +176,8 @@
     }
 
     fn stream(&self, headers: &[(&str, &str)], stream: &mut TcpStream) -> io::Result<()> {
-        let mut head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n".to_owned();
+        let mut head =
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n".to_owned();
         for (name, value) in headers {
             head.push_str(&format!("{name}: {value}\r\n"));
         }
--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -16,7 +16,9 @@
 impl Request {
     pub fn header(&self, name: &str) -> Option<&str> {
         let mut headers = self.headers.iter();
-        headers.find(|(key, _)| key.eq_ignore_ascii_case(name)).map(|(_, value)| value.as_str())
+        headers
+            .find(|(key, _)| key.eq_ignore_ascii_case(name))
+            .map(|(_, value)| value.as_str())
     }
 
     pub fn parameter(&self, name: &str) -> Option<&str> {
@@ -48,7 +50,12 @@
 
 /// Reads a body with a length, in chunks, or up to the end of the connection if `to_end` is set.
 pub fn read_body(reader: &mut impl BufRead, headers: &[(String, String)], to_end: bool) -> io::Result<Vec<u8>> {
-    let header = |name: &str| headers.iter().find(|(key, _)| key.eq_ignore_ascii_case(name)).map(|(_, value)| value);
+    let header = |name: &str| {
+        headers
+            .iter()
+            .find(|(key, _)| key.eq_ignore_ascii_case(name))
+            .map(|(_, value)| value)
+    };
     let mut body = Vec::new();
     if header("transfer-encoding").is_some() {
         loop {
@@ -84,7 +91,13 @@
     let (path, query) = target.split_once('?').unwrap_or((target, ""));
     let (path, query) = (path.to_owned(), query.to_owned());
     let body = read_body(reader, &headers, false)?;
-    Ok(Some(Request { method, path, query, headers, body }))
+    Ok(Some(Request {
+        method,
+        path,
+        query,
+        headers,
+        body,
+    }))
 }
 
 /// Writes a response with a length.
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -22,6 +22,10 @@
     /// Revision, kind and JSON text of each change.
     history: Vec<(u64, String, String)>,
     revision: u64,
+    /// Whether the store is silent: calls wait until it is back.
+    is_silent: bool,
+    /// When calls for changes of the configuration arrived.
+    config_watches: Vec<Duration>,
 }
 
 #[derive(Clone)]
@@ -32,7 +36,10 @@
 
 impl Store {
     pub fn start(address: SocketAddr, record: &Arc<Record>) -> io::Result<Self> {
-        let store = Self { state: Arc::default(), record: Arc::clone(record) };
+        let store = Self {
+            state: Arc::default(),
+            record: Arc::clone(record),
+        };
         let shared = store.clone();
         http::serve(address, move |request, stream| shared.handle(request, stream))?;
         Ok(store)
@@ -42,7 +49,10 @@
     pub fn put(&self, kind: &str, name: &str, spec: &str) {
         let mut state = self.state.0.lock().unwrap();
         let key = (kind.to_owned(), name.to_owned());
-        let status = state.objects.get(&key).map_or("null".to_owned(), |object| object.status.clone());
+        let status = state
+            .objects
+            .get(&key)
+            .map_or("null".to_owned(), |object| object.status.clone());
         let spec = spec.to_owned();
         self.replace(&mut state, key, spec, status);
     }
@@ -66,6 +76,23 @@
         }
     }
 
+    /// Leaves all calls without an answer, or answers again, also those that came meanwhile.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.state.0.lock().unwrap().is_silent = is_silent;
+        self.state.1.notify_all();
+    }
+
+    /// Returns when calls for changes of the configuration arrived since a time.
+    pub fn config_watches(&self, since: Duration) -> Vec<Duration> {
+        let state = self.state.0.lock().unwrap();
+        state.config_watches.iter().copied().filter(|at| *at >= since).collect()
+    }
+
+    fn wait_while_silent(&self) {
+        let state = self.state.0.lock().unwrap();
+        let _state = self.state.1.wait_while(state, |state| state.is_silent).unwrap();
+    }
+
     fn replace(&self, state: &mut State, key: (String, String), spec: String, status: String) -> Object {
         if let Some(known) = state.objects.get(&key)
             && known.spec == spec
@@ -74,7 +101,11 @@
             return known.clone();
         }
         state.revision += 1;
-        let object = Object { revision: state.revision, spec, status };
+        let object = Object {
+            revision: state.revision,
+            spec,
+            status,
+        };
         let event = format!(r#"{{"object":{},"deleted":false}}"#, text(&key.1, &object));
         state.history.push((object.revision, key.0.clone(), event));
         state.objects.insert(key, object.clone());
@@ -83,6 +114,7 @@
     }
 
     fn handle(&self, request: &Request, stream: &mut TcpStream) -> io::Result<()> {
+        self.wait_while_silent();
         let Some(path) = request.path.strip_prefix("/hawthornpost/objects/") else {
             return json(stream, 404, "{}");
         };
@@ -94,9 +126,17 @@
         }
         match request.parameter("watch").and_then(|since| since.parse().ok()) {
             Some(since) => {
-                let wait = request.parameter("wait-ms").and_then(|wait| wait.parse().ok()).unwrap_or(0);
-                let body = self.watch(path, since, Duration::from_millis(wait));
-                json(stream, 200, &body)
+                let wait = request
+                    .parameter("wait-ms")
+                    .and_then(|wait| wait.parse().ok())
+                    .unwrap_or(0);
+                if path == "config" {
+                    let at = self.record.now();
+                    self.state.0.lock().unwrap().config_watches.push(at);
+                }
+                let events = self.watch(path, since, Duration::from_millis(wait));
+                self.wait_while_silent();
+                json(stream, 200, &events)
             }
             None => json(stream, 200, &self.list(path)),
         }
@@ -105,15 +145,24 @@
     fn list(&self, kind: &str) -> String {
         let state = self.state.0.lock().unwrap();
         let items = state.objects.iter().filter(|((other, _), _)| other == kind);
-        let items = items.map(|((_, name), object)| text(name, object)).collect::<Vec<_>>().join(",");
-        format!(r#"{{"items":[{items}],"has-more":false,"store-revision":{}}}"#, state.revision)
+        let items = items
+            .map(|((_, name), object)| text(name, object))
+            .collect::<Vec<_>>()
+            .join(",");
+        format!(
+            r#"{{"items":[{items}],"has-more":false,"store-revision":{}}}"#,
+            state.revision
+        )
     }
 
     fn watch(&self, kind: &str, since: u64, wait: Duration) -> String {
         let deadline = Instant::now() + wait;
         let mut state = self.state.0.lock().unwrap();
         loop {
-            let events = state.history.iter().filter(|(revision, other, _)| *revision > since && other == kind);
+            let events = state
+                .history
+                .iter()
+                .filter(|(revision, other, _)| *revision > since && other == kind);
             let events = events.map(|(_, _, event)| event.as_str()).collect::<Vec<_>>();
             let left = deadline.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
@@ -131,7 +180,11 @@
         };
         let body = String::from_utf8_lossy(&request.body);
         let revision = after(&body, r#""revision":"#).map(|rest| {
-            rest.chars().take_while(char::is_ascii_digit).collect::<String>().parse::<u64>().unwrap_or(0)
+            rest.chars()
+                .take_while(char::is_ascii_digit)
+                .collect::<String>()
+                .parse::<u64>()
+                .unwrap_or(0)
         });
         let status = after(&body, r#""status":"#).map(|rest| object_at(rest).to_owned());
         let key = (kind.to_owned(), name.to_owned());
@@ -145,7 +198,10 @@
             return json(stream, 409, &body);
         }
         let status = status.unwrap_or("null".to_owned());
-        self.record.line(&format!("store: status of {kind}/{name} from {} to {status}", known.status));
+        self.record.line(&format!(
+            "store: status of {kind}/{name} from {} to {status}",
+            known.status
+        ));
         let object = self.replace(&mut state, key, known.spec, status);
         drop(state);
         json(stream, 200, &text(name, &object))
