--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,10 +1,3 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. TROUBLE=0 leaves the disruption out.
-cd "$(dirname "$0")/../.." || exit 2
-case=review/4
-folder=$(mktemp -d) || exit 2
-trap 'rm -rf "$folder"' EXIT
-timeout -k 2 115 target/review/case-4 "$folder" "$case/record.txt"
-result=$?
-[ "$result" -le 1 ] || exit 2
-exit "$result"
+exec "$(dirname "$0")/../standins/run.sh" 4
