Let a paused host learn what its peers know before it judges a rollout

Cause: three rules were missing. A due trial was decided from whatever counts there were; the first verdict that a host reached was kept for good, whatever the store or its peers said; a final state of the store that differed from the own one counted as not written. The check of the revision did not help, because the host wrote with the current revision.

Ruled out: a late datagram of another host (the others announced rolled_back only).

Change: the store's final state replaces every verdict and is never written again. Before it, verdicts are merged by their order: a host that has seen the version fail prevails. A host judges, writes a verdict and sends requests to the new version only while it has heard of half of the hosts lately; a pause makes it forget whom it heard, and datagrams from before the pause do not count, as their age of the trial shows. Outcomes of requests that were open during the pause are not counted. After a pause or a refused write the orders are read again. A verdict of a peer is written at once, not at the next turn, which at 295 hosts came up to 2.4 s later.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,14 +6,14 @@
 mod targets;
 mod watcher;
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, RefCell, RefMut};
 use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
 
 use hawthornpost_core::clock::Instant;
 use hawthornpost_daemon::timer::Timer;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::budget::Budget;
 use crate::config::{Config, Limits};
@@ -61,6 +61,10 @@
     replaced: RefCell<Vec<Replacement>>,
     budget: RefCell<Budget>,
     rollouts: RefCell<Rollouts>,
+    /// The end of the last pause of the process for which the trials were made to wait.
+    handled_pause: Cell<Option<Instant>>,
+    /// Wakes the task that reads rollout orders from the store.
+    orders_outdated: Notify,
     quarantine: Shared,
     peers: Peers,
     phase: watch::Sender<Phase>,
@@ -105,6 +109,8 @@
             replaced: RefCell::default(),
             budget: RefCell::new(Budget::new(settings.limits.retries)),
             rollouts: RefCell::new(Rollouts::new(settings.rollouts, rand::random())),
+            handled_pause: Cell::default(),
+            orders_outdated: Notify::new(),
             quarantine: Shared::new(),
             peers: Peers::new(&settings),
             phase: watch::Sender::new(Phase::Running),
@@ -256,6 +262,22 @@
         &self.quarantine
     }
 
+    /// Returns the trials and orders as of now: after a pause of the process they first wait for peers and the store.
+    pub(crate) fn current_rollouts(&self) -> RefMut<'_, Rollouts> {
+        let mut rollouts = self.rollouts.borrow_mut();
+        let pause = self.timer.last_pause();
+        if pause != self.handled_pause.replace(pause) {
+            rollouts.resume(self.now());
+            self.orders_outdated.notify_one();
+        }
+        rollouts
+    }
+
+    /// Returns the signal to read the rollout orders from the store again.
+    pub(crate) fn orders_outdated(&self) -> &Notify {
+        &self.orders_outdated
+    }
+
     /// Stores a rollout order read from the store.
     pub(crate) fn put_rollout(&self, order: Order) {
         let before = self.fleet.borrow().versions_of(&order.service);
@@ -266,15 +288,18 @@
     /// Merges the trial results reported by a peer.
     pub(crate) fn merge_trial(&self, peer: &str, observation: Observation) {
         let before = self.fleet.borrow().versions_of(&observation.order.service);
-        self.rollouts
-            .borrow_mut()
+        let is_changed = self
+            .current_rollouts()
             .merge_peer(self.now(), peer, observation, before);
+        if is_changed {
+            self.peers.wake_for_verdict();
+        }
         self.peers.wake_trials();
     }
 
     /// Counts a new request for a service with a rollout order and returns the versions that may serve it.
     pub(crate) fn trial_versions(&self, service: &str) -> Option<Versions> {
-        let mut rollouts = self.rollouts.borrow_mut();
+        let mut rollouts = self.current_rollouts();
         rollouts.versions(self.now(), service, || self.peers.live_hosts())
     }
 
@@ -301,13 +326,13 @@
     /// Records the outcome of a request at a target for the trial of its version.
     pub(crate) fn record_outcome(&self, route: &str, target: &Target, outcome: Outcome) {
         let mut rollouts = self.rollouts.borrow_mut();
-        rollouts.record_outcome(&target.service, route, &target.version, outcome);
+        rollouts.record_outcome(self.now(), &target.service, route, &target.version, outcome);
     }
 
     /// Records the latency of a request that its trial has counted already.
     pub(crate) fn record_baseline(&self, route: &str, target: &Target, outcome: Outcome) {
         let mut rollouts = self.rollouts.borrow_mut();
-        rollouts.record_baseline(&target.service, route, &target.version, outcome);
+        rollouts.record_baseline(self.now(), &target.service, route, &target.version, outcome);
     }
 
     /// Counts a request for a service, which adds to its retry budget.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -121,6 +121,8 @@
 mod sync;
 pub mod target;
 pub mod trial;
+mod trial_contact;
+mod trial_evidence;
 mod trial_wait;
 mod unusable;
 pub mod versions;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -56,6 +56,8 @@
     pub(crate) update_received: Notify,
     /// Wakes the evaluation of trials.
     trials_changed: Notify,
+    /// Wakes the evaluation of trials for a verdict of a peer.
+    verdict_received: Notify,
 }
 
 impl Peers {
@@ -97,6 +99,7 @@
             updates: RefCell::default(),
             update_received: Notify::new(),
             trials_changed: Notify::new(),
+            verdict_received: Notify::new(),
         }
     }
 
@@ -249,6 +252,15 @@
         self.trials_changed.notify_one();
     }
 
+    /// Waits until a peer has reached a verdict on a trial.
+    pub(crate) async fn verdict_received(&self) {
+        self.verdict_received.notified().await;
+    }
+
+    pub(crate) fn wake_for_verdict(&self) {
+        self.verdict_received.notify_one();
+    }
+
     /// Waits for store changes from watchers.
     pub(crate) async fn receive_updates(&self) -> Vec<(SocketAddr, Update)> {
         loop {
--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -24,8 +24,11 @@
     pub revision: u64,
 }
 
-/// The state of an order. All but the first are final.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+/// The state of an order. All but the first are final once the store holds them.
+///
+/// Until then they are verdicts of hosts, and the higher one of two counts: a host that has seen a version fail prevails
+/// over those that have not.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum State {
     /// The new version is on trial.
@@ -38,6 +41,11 @@
 }
 
 impl State {
+    /// Returns whether the order has ended.
+    pub fn is_final(self) -> bool {
+        self != Self::InProgress
+    }
+
     /// Returns the name for logs.
     pub fn name(self) -> &'static str {
         match self {
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -16,6 +16,8 @@
 
 /// How long hosts announce a verdict. After this time peers can read it from the store.
 const VERDICT_ANNOUNCEMENT_DURATION: Duration = Duration::from_secs(5);
+/// How long after a pause of the process failures may still be its consequence.
+const FAILURE_DELAY: Duration = Duration::from_secs(1);
 
 /// The trials of all orders by service, each with the time of its verdict at this host.
 #[derive(Debug)]
@@ -24,6 +26,8 @@
     trials: BTreeMap<String, (Trial, Option<Instant>)>,
     /// Whether the orders were read from the store or a peer.
     is_known: bool,
+    /// When the last pause of the process ended.
+    resumed_at: Option<Instant>,
     next_wait: u64,
     random: SmallRng,
 }
@@ -35,6 +39,7 @@
             exposure,
             trials: BTreeMap::new(),
             is_known: false,
+            resumed_at: None,
             next_wait: 0,
             random: SmallRng::seed_from_u64(seed),
         }
@@ -93,7 +98,7 @@
         let mut trials = self.trials.values();
         trials.any(|(trial, decided_at)| {
             let is_announced = decided_at.is_some_and(|at| now.since(at) < VERDICT_ANNOUNCEMENT_DURATION);
-            trial.state() == State::InProgress || is_announced || is_unwritten(trial)
+            !trial.order().state.is_final() || is_announced
         })
     }
 
@@ -119,14 +124,20 @@
     }
 
     /// Counts the outcome of a request at a target of a version.
-    pub fn record_outcome(&mut self, service: &str, route: &str, version: &str, outcome: Outcome) {
+    pub fn record_outcome(&mut self, now: Instant, service: &str, route: &str, version: &str, outcome: Outcome) {
+        if self.spans_pause(now, outcome) {
+            return;
+        }
         if let Some((trial, _)) = self.trials.get_mut(service) {
             trial.record(route, version, outcome);
         }
     }
 
     /// Adds the latency of a request that is counted already to the baseline.
-    pub fn record_baseline(&mut self, service: &str, route: &str, version: &str, outcome: Outcome) {
+    pub fn record_baseline(&mut self, now: Instant, service: &str, route: &str, version: &str, outcome: Outcome) {
+        if self.spans_pause(now, outcome) {
+            return;
+        }
         if let Some((trial, _)) = self.trials.get_mut(service) {
             trial.record_baseline(route, version, outcome);
         }
@@ -147,51 +158,70 @@
         trial.is_some_and(|(trial, _)| trial.end_wait(id))
     }
 
-    /// Merges the state and the counts of a peer, and adds the order if this host does not know it.
+    /// Merges the state and the counts of a peer, and adds the order if this host does not know it. Returns whether the
+    /// state of the trial has changed.
     pub fn merge_peer(
         &mut self,
         now: Instant,
         peer: &str,
         observation: Observation,
         initial_versions: BTreeSet<String>,
-    ) {
+    ) -> bool {
         if !self.trials.contains_key(&observation.order.service) {
             self.put(now, observation.order.clone(), initial_versions);
         }
-        if let Some((trial, _)) = self.trials.get_mut(&observation.order.service) {
-            trial.merge_peer(now, peer, observation);
-        }
+        let Some((trial, _)) = self.trials.get_mut(&observation.order.service) else {
+            return false;
+        };
+        let before = trial.state();
+        trial.merge_peer(now, peer, observation);
+        trial.state() != before
+    }
+
+    /// Makes the trials wait for the peers, because the process was paused.
+    pub fn resume(&mut self, now: Instant) {
+        self.resumed_at = Some(now);
+        self.trials.values_mut().for_each(|(trial, _)| trial.lose_contact());
     }
 
     /// Decides on the trials and returns what is to be announced to peers.
-    pub fn decide(&mut self, now: Instant) -> Vec<Observation> {
+    pub fn decide(&mut self, now: Instant, live_hosts: usize) -> Vec<Observation> {
         let mut observations = Vec::new();
         for (trial, decided_at) in self.trials.values_mut() {
-            let state = trial.decide(now);
-            if state != State::InProgress && decided_at.is_none() && trial.order().state == State::InProgress {
+            let state = trial.decide(now, live_hosts);
+            if state.is_final() && decided_at.is_none() && !trial.order().state.is_final() {
                 *decided_at = Some(now);
                 log_verdict(trial, now);
             }
-            let is_announced = decided_at.map_or(state == State::InProgress, |at| {
-                now.since(at) < VERDICT_ANNOUNCEMENT_DURATION
-            });
-            if is_announced {
+            let is_announced = decided_at.is_some_and(|at| now.since(at) < VERDICT_ANNOUNCEMENT_DURATION);
+            if !trial.order().state.is_final() || is_announced {
                 observations.push(trial.observation(now));
             }
         }
         observations
     }
 
+    /// Returns the time until the next trial is due for a verdict, if there is one.
+    pub(crate) fn time_to_verdict(&self, now: Instant) -> Option<Duration> {
+        let trials = self.trials.values().map(|(trial, _)| trial);
+        let open = trials.filter(|trial| !trial.state().is_final());
+        let times = open.map(|trial| trial.time_to_verdict(now));
+        times.filter(|time| !time.is_zero()).min()
+    }
+
     /// Returns the orders whose state is not written to the store yet, with that state.
     pub fn unwritten(&self) -> Vec<(Order, State)> {
         let trials = self.trials.values().map(|(trial, _)| trial);
-        let unwritten = trials.filter(|trial| is_unwritten(trial));
-        unwritten.map(|trial| (trial.order().clone(), trial.state())).collect()
+        let unwritten = trials.filter_map(|trial| Some((trial.order().clone(), trial.unwritten()?)));
+        unwritten.collect()
     }
-}
 
-fn is_unwritten(trial: &Trial) -> bool {
-    trial.order().is_new || trial.order().state != trial.state()
+    /// Returns whether an outcome is that of a request which was open during a pause of the process.
+    fn spans_pause(&self, now: Instant, outcome: Outcome) -> bool {
+        let min_age = outcome.duration().unwrap_or(FAILURE_DELAY);
+        self.resumed_at
+            .is_some_and(|resumed_at| now.since(resumed_at) < min_age)
+    }
 }
 
 fn log_verdict(trial: &Trial, now: Instant) {
@@ -204,7 +234,7 @@
         old_bad: total.old_bad,
         new: total.new,
         new_bad: total.new_bad,
-        age_ms: trial.age_ms(now),
+        age_ms: millis(trial.age(now)),
         what: "the trial of a version has ended",
     }
     .log();
--- a/crates/gateway/src/rollouts_runner.rs
+++ b/crates/gateway/src/rollouts_runner.rs
@@ -3,12 +3,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::duration::scale_by_hosts;
 use crate::event::Event;
 use crate::feed::Update;
 use crate::gateway::Gateway;
 use crate::platform::{Change, Failure, Kind, Object, Platform};
 use crate::rollout::Order;
+use crate::trial_contact::observation_interval;
 use crate::unusable;
 
 /// The maximum duration of a watch at the store. Orders are rare, and each call has a cost.
@@ -21,11 +21,6 @@
 const PEER_PATIENCE: Duration = Duration::from_millis(2500);
 /// The interval of checks whether the process is ready.
 const READY_POLL_INTERVAL: Duration = Duration::from_millis(100);
-/// The interval of decisions on trials while there are few hosts.
-const MIN_DECISION_INTERVAL: Duration = Duration::from_millis(200);
-/// The interval of decisions per host, so that the messages that a host receives per second do not grow with the number
-/// of hosts.
-const DECISION_INTERVAL_PER_HOST: Duration = Duration::from_millis(8);
 
 struct Runner<P> {
     gateway: Rc<Gateway>,
@@ -63,7 +58,11 @@
                 continue;
             }
             let result = match revision {
-                Some(since) => self.watch(since).await,
+                Some(since) => tokio::select! {
+                    result = self.watch(since) => result,
+                    // A watch from before a pause may never return, and one that has begun may return late.
+                    () = self.gateway.orders_outdated().notified() => self.list().await,
+                },
                 None => self.list().await,
             };
             match result {
@@ -133,22 +132,31 @@
 
     /// Decides on trials, sends this host's counts to peers, and writes states.
     async fn decide(&self) {
+        let peers = self.gateway.peers();
         loop {
-            let observations = self.gateway.rollouts().borrow_mut().decide(self.gateway.now());
+            let hosts = peers.live_hosts();
+            let observations = self.gateway.current_rollouts().decide(self.gateway.now(), hosts);
             for observation in observations {
-                self.gateway.peers().broadcast_trial(observation);
+                peers.broadcast_trial(observation);
             }
             self.write_states().await;
-            let hosts = self.gateway.peers().live_hosts();
-            let interval = MIN_DECISION_INTERVAL.max(scale_by_hosts(DECISION_INTERVAL_PER_HOST, hosts));
-            self.gateway.timer().sleep(interval).await;
+            let pause = self.pause_between_decisions(hosts);
+            // A verdict of a peer has to be written before the deadline.
+            self.gateway.timer().timeout(pause, peers.verdict_received()).await;
             let is_busy = self.gateway.rollouts().borrow().is_busy(self.gateway.now());
             if !is_busy {
-                self.gateway.peers().trials_changed().await;
+                peers.trials_changed().await;
             }
         }
     }
 
+    /// Returns the time until the next decision: until the next observations are sent, or a trial is due for a verdict.
+    fn pause_between_decisions(&self, hosts: usize) -> Duration {
+        let interval = observation_interval(hosts);
+        let due = self.gateway.rollouts().borrow().time_to_verdict(self.gateway.now());
+        due.map_or(interval, |due| due.min(interval))
+    }
+
     /// Writes the states that the store lacks. Several hosts may do so; the store accepts the first write.
     async fn write_states(&self) {
         if !self.gateway.is_watcher() {
@@ -161,6 +169,9 @@
                 Ok(()) => "written".to_owned(),
                 Err(error) => error.to_string(),
             };
+            if matches!(result, Err(Failure::Conflict)) {
+                self.gateway.orders_outdated().notify_one();
+            }
             Event::RolloutWritten {
                 service: &order.service,
                 version: &order.version,
--- a/crates/gateway/src/trial.rs
+++ b/crates/gateway/src/trial.rs
@@ -8,12 +8,13 @@
 use std::time::Duration;
 
 use hawthornpost_core::clock::Instant;
-use hawthornpost_core::rollout::{self, Rate};
 use serde::{Deserialize, Serialize};
 
 use crate::baseline::Baseline;
 use crate::duration::millis;
 use crate::rollout::{Order, State};
+use crate::trial_contact::Contact;
+pub use crate::trial_evidence::{Counts, Evidence, Latency, RouteCounts};
 use crate::versions::Versions;
 
 /// The share of the allowed exposure that a trial uses. The rest absorbs requests that are counted elsewhere, and those
@@ -31,9 +32,6 @@
 const SLOW_FACTOR: f64 = 2.0;
 /// The number of intervals between events at the start of a stream that are one outcome.
 pub const SAMPLED_INTERVALS: u32 = 32;
-/// The share of bad outcomes below which a version is never rolled back. Servers also fail for reasons that do not
-/// depend on the version.
-const MIN_BAD_SHARE: f64 = 0.08;
 /// The maximum number of peers whose counts are kept. The counts of a process that has ended stay valid.
 const MAX_PEERS: usize = 1024;
 
@@ -46,40 +44,6 @@
     pub slack: f64,
 }
 
-/// The counts of one route during a trial. The short field names keep messages small.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Counts {
-    /// Outcomes of the old version.
-    #[serde(rename = "o", default)]
-    pub old: u64,
-    /// Bad outcomes of the old version: failures and slow responses.
-    #[serde(rename = "ob", default)]
-    pub old_bad: u64,
-    /// Outcomes of the new version.
-    #[serde(rename = "n", default)]
-    pub new: u64,
-    /// Bad outcomes of the new version.
-    #[serde(rename = "nb", default)]
-    pub new_bad: u64,
-    /// The latencies of the old version.
-    #[serde(rename = "l", default, skip_serializing_if = "Baseline::is_empty")]
-    pub baseline: Baseline,
-}
-
-/// The counts by route.
-pub type RouteCounts = BTreeMap<String, Counts>;
-
-/// The counts of one host. The kinds are apart because a slow version may be slow in one of them only.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Evidence {
-    /// Responses, first events of streams, and failures.
-    #[serde(rename = "counts")]
-    pub responses: RouteCounts,
-    /// Intervals between events of streams.
-    #[serde(default)]
-    pub intervals: RouteCounts,
-}
-
 /// The state and the counts of a trial at one host, for its peers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Observation {
@@ -87,8 +51,11 @@
     pub order: Order,
     /// The state of the order at that host, which is the verdict once there is one.
     pub state: State,
-    /// The time since the host received the order, in milliseconds.
+    /// The time since the first host received the order, in milliseconds.
     pub age_ms: u64,
+    /// Whether the sender hears of enough hosts. Otherwise its state and its time may be those of before a pause.
+    #[serde(default = "is_current_by_default")]
+    pub is_current: bool,
     /// The counts.
     #[serde(flatten)]
     pub evidence: Evidence,
@@ -105,15 +72,6 @@
     Failed,
 }
 
-/// The kinds of latency that have a baseline.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Latency {
-    /// The time to the response, or to the first event of a stream.
-    Response,
-    /// The mean interval between events.
-    EventInterval,
-}
-
 /// A request whose latency is not known yet.
 #[derive(Debug)]
 struct Wait {
@@ -128,9 +86,18 @@
 /// The trial of one version.
 #[derive(Debug)]
 pub struct Trial {
+    /// The order, with the state that the store holds.
     order: Order,
-    state: State,
-    started: Instant,
+    /// The verdict of this host and its peers, which counts until the store holds one.
+    verdict: State,
+    /// When this host received the order, and for how long other hosts had known it then.
+    received_at: Instant,
+    known_before: Duration,
+    contact: Contact,
+    /// Whether this host knows the trial as its peers do: it saw the trial begin, or heard of enough hosts lately.
+    is_current: bool,
+    /// Whether this host sends no requests to the new version, because its state may be outdated or the version fails.
+    is_suspended: bool,
     /// The versions that the service had when the order was received.
     initial_versions: BTreeSet<String>,
     /// Requests to the service at this host, and how many of them went to the new version.
@@ -147,8 +114,13 @@
     /// Creates the trial of an order. `initial_versions` are the versions of the service's targets.
     pub fn new(order: Order, now: Instant, initial_versions: BTreeSet<String>) -> Self {
         Self {
-            state: order.state,
-            started: now,
+            verdict: State::InProgress,
+            received_at: now,
+            known_before: Duration::ZERO,
+            contact: Contact::default(),
+            // Others may have ended a trial that this host did not see begin.
+            is_current: order.is_new,
+            is_suspended: !order.is_new,
             initial_versions: initial_versions
                 .into_iter()
                 .filter(|version| *version != order.version)
@@ -176,34 +148,56 @@
         &self.order
     }
 
-    /// Returns the state, which may not be written to the store yet.
+    /// Returns the state: the final one of the store, or the verdict, which may not be written yet.
     pub fn state(&self) -> State {
-        self.state
+        if self.order.state.is_final() {
+            self.order.state
+        } else {
+            self.verdict
+        }
     }
 
-    /// Updates the order from the store. A verdict is final.
+    /// Updates the order from the store.
     pub fn update(&mut self, order: Order) {
-        if self.state == State::InProgress {
-            self.state = order.state;
-        }
         self.order = order;
     }
 
+    /// Makes the trial wait for its peers, because the process was paused: they may have ended it, and requests that
+    /// were open seem slow.
+    pub fn lose_contact(&mut self) {
+        self.contact.lose();
+        self.is_current = false;
+        self.is_suspended = true;
+        self.waits.values_mut().for_each(|wait| wait.is_counted = true);
+    }
+
+    /// Returns the state to write to the store, which holds none of this order or not a final one. A host that may not
+    /// know of the latest results writes no verdict.
+    pub fn unwritten(&self) -> Option<State> {
+        let state = self.state();
+        let may_write = if state.is_final() {
+            !self.order.state.is_final() && self.is_current
+        } else {
+            self.order.is_new
+        };
+        may_write.then_some(state)
+    }
+
     /// Counts a new request and returns the versions that may take it.
     pub fn versions(&mut self, now: Instant, exposure: Exposure, hosts: usize) -> Versions {
         self.requests += 1;
-        match self.state {
+        match self.state() {
             State::Completed => return Versions::Except(self.initial_versions.clone()),
-            State::RolledBack => return self.stable_versions(),
-            State::InProgress => {}
+            State::InProgress if !self.is_suspended => {}
+            State::InProgress | State::RolledBack => return self.stable_versions(),
         }
-        let elapsed_share = now.since(self.started).as_secs_f64() / self.order.duration.as_secs_f64().max(1.0);
+        let elapsed_share = self.age(now).as_secs_f64() / self.order.duration.as_secs_f64().max(1.0);
         let slack = exposure.slack / hosts.max(1) as f64 * elapsed_share.min(1.0);
         let max_exposed = USABLE_SHARE * exposure.share.mul_add(self.requests as f64, slack);
         if self.exposed as f64 + 1.0 > max_exposed + self.rounding {
             return self.stable_versions();
         }
-        let rotation = now.since(self.started).as_millis() / ROTATION_INTERVAL.as_millis();
+        let rotation = self.age(now).as_millis() / ROTATION_INTERVAL.as_millis();
         Versions::Only {
             version: self.order.version.clone(),
             // With more requests than the share, which the slack allows, fewer targets would be overloaded.
@@ -214,7 +208,7 @@
 
     /// Returns the versions for work that must not use the version on trial: retries and copies of streams.
     pub fn stable_versions(&self) -> Versions {
-        match self.state {
+        match self.state() {
             State::Completed => Versions::Except(self.initial_versions.clone()),
             State::InProgress | State::RolledBack => Versions::Except([self.order.version.clone()].into()),
         }
@@ -232,7 +226,7 @@
 
     /// Counts the outcome of a request at a target of a version.
     pub fn record(&mut self, route: &str, version: &str, outcome: Outcome) {
-        if self.state != State::InProgress {
+        if self.order.state.is_final() {
             return;
         }
         let is_bad = outcome
@@ -320,33 +314,39 @@
         self.peer_evidence.values().chain([&self.own_evidence])
     }
 
-    /// Returns the time since the order was received, in milliseconds.
-    pub fn age_ms(&self, now: Instant) -> u64 {
-        millis(now.since(self.started))
+    /// Returns the time since the first host received the order.
+    pub fn age(&self, now: Instant) -> Duration {
+        now.since(self.received_at) + self.known_before
     }
 
     /// Returns the state and the counts of this host, for its peers.
     pub fn observation(&self, now: Instant) -> Observation {
         Observation {
             order: self.order.clone(),
-            state: self.state,
-            age_ms: self.age_ms(now),
+            state: self.state(),
+            age_ms: millis(self.age(now)),
+            is_current: self.is_current,
             evidence: self.own_evidence.clone(),
         }
     }
 
-    /// Merges the state and the counts of a peer. If the peer received the order earlier, its start is used.
+    /// Merges the state and the counts of a peer. If the peer knew the order earlier, its time is used.
     pub fn merge_peer(&mut self, now: Instant, peer: &str, observation: Observation) {
         if observation.order.version != self.order.version {
             return;
         }
-        if self.state == State::InProgress {
-            self.state = observation.state;
-        }
         let age = Duration::from_millis(observation.age_ms);
-        self.started = self
-            .started
-            .min(Instant::from_start(now.since_start().saturating_sub(age)));
+        // Datagrams that arrived during a pause are read after it.
+        let is_recent = age + self.contact.heard_time() >= self.age(now);
+        if is_recent {
+            self.contact.record(peer, now);
+        }
+        if observation.is_current {
+            self.known_before += age.saturating_sub(self.age(now));
+        }
+        if (is_recent && observation.is_current) || observation.state == State::RolledBack {
+            self.verdict = self.verdict.max(observation.state);
+        }
         if self.peer_evidence.len() < MAX_PEERS || self.peer_evidence.contains_key(peer) {
             self.peer_evidence.insert(peer.to_owned(), observation.evidence);
         }
@@ -379,43 +379,53 @@
 
     /// Decides on the trial and returns the state. A bad version is rolled back at once, a good one replaces the old
     /// version shortly before the deadline, and one without enough outcomes by then is rolled back.
-    pub fn decide(&mut self, now: Instant) -> State {
-        if self.state != State::InProgress {
-            return self.state;
+    ///
+    /// A host that does not hear of enough of the `live_hosts` decides nothing and takes no part in the trial.
+    pub fn decide(&mut self, now: Instant, live_hosts: usize) -> State {
+        if self.order.state.is_final() {
+            return self.order.state;
         }
         self.count_slow_waits(now);
-        let is_due = now.since(self.started) + DECISION_MARGIN >= self.order.duration;
-        self.state = match (self.is_bad(), is_due) {
+        let is_bad = self.is_bad();
+        self.is_current = self.contact.is_current(now, live_hosts);
+        if self.is_current {
+            self.verdict = self.verdict.max(self.judge(now, is_bad));
+        }
+        let has_begun = now.since(self.received_at) >= self.contact.heard_time();
+        self.is_suspended = is_bad || (!self.is_current && (self.is_suspended || has_begun));
+        self.state()
+    }
+
+    fn judge(&self, now: Instant, is_bad: bool) -> State {
+        let is_due = self.time_to_verdict(now).is_zero();
+        match (is_bad, is_due) {
             (true, _) => State::RolledBack,
             (false, false) => State::InProgress,
             (false, true) if self.total().new < MIN_OUTCOMES => State::RolledBack,
             (false, true) => State::Completed,
-        };
-        self.state
+        }
     }
-}
 
-impl Latency {
-    const ALL: [Self; 2] = [Self::Response, Self::EventInterval];
+    /// Returns the time until a good version replaces the old one.
+    pub fn time_to_verdict(&self, now: Instant) -> Duration {
+        self.order.duration.saturating_sub(self.age(now) + DECISION_MARGIN)
+    }
 }
 
-impl Evidence {
-    fn routes(&self, kind: Latency) -> &RouteCounts {
-        match kind {
-            Latency::Response => &self.responses,
-            Latency::EventInterval => &self.intervals,
-        }
-    }
+fn is_current_by_default() -> bool {
+    true
+}
 
-    fn routes_mut(&mut self, kind: Latency) -> &mut RouteCounts {
-        match kind {
-            Latency::Response => &mut self.responses,
-            Latency::EventInterval => &mut self.intervals,
+impl Outcome {
+    /// Returns the time that the request has taken at least, unless it failed.
+    pub(crate) fn duration(self) -> Option<Duration> {
+        match self {
+            Self::Responded(took) => Some(took),
+            Self::Streamed(interval) => Some(interval * SAMPLED_INTERVALS),
+            Self::Failed => None,
         }
     }
-}
 
-impl Outcome {
     fn latency(self) -> Option<(Latency, Duration)> {
         match self {
             Self::Responded(took) => Some((Latency::Response, took)),
@@ -435,32 +445,3 @@
         }
     }
 }
-
-impl Counts {
-    fn add(&mut self, other: Self) {
-        self.old += other.old;
-        self.old_bad += other.old_bad;
-        self.new += other.new;
-        self.new_bad += other.new_bad;
-        self.baseline.add(other.baseline);
-    }
-
-    fn sum(counts: impl Iterator<Item = Self>) -> Self {
-        counts.fold(Self::default(), |mut sum, counts| {
-            sum.add(counts);
-            sum
-        })
-    }
-
-    fn is_bad(&self) -> bool {
-        let new = Rate {
-            bad: self.new_bad,
-            of: self.new,
-        };
-        let old = Rate {
-            bad: self.old_bad,
-            of: self.old,
-        };
-        rollout::is_worse(new, old, MIN_BAD_SHARE)
-    }
-}
--- a/crates/gateway/tests/trial.rs
+++ b/crates/gateway/tests/trial.rs
@@ -86,7 +86,7 @@
                 for (peer, observation) in observations.iter().enumerate().filter(|(peer, _)| *peer != host) {
                     trial.merge_peer(now, &format!("peer-{peer}"), observation.clone());
                 }
-                trial.decide(now);
+                trial.decide(now, HOSTS);
             }
         }
         let state = trials[0].state();
@@ -131,7 +131,7 @@
 #[test]
 fn version_without_outcomes_is_rolled_back_for_good() {
     let mut trial = Trial::new(order(), Instant::ZERO, ["v1".to_owned()].into());
-    assert_eq!(trial.decide(Instant::ZERO + DURATION), State::RolledBack);
+    assert_eq!(trial.decide(Instant::ZERO + DURATION, 1), State::RolledBack);
     let mut later = order();
     later.is_new = false;
     trial.update(later);
@@ -154,11 +154,131 @@
         late.record("book", "v2", Outcome::Responded(Duration::from_millis(60)));
     }
     let due = Instant::from_millis(11_700);
-    assert_eq!(late.decide(due), State::Completed);
+    assert_eq!(late.decide(due, 2), State::Completed);
     early.merge_peer(due, "late", late.observation(due));
     assert_eq!(early.state(), State::Completed);
 }
 
+/// Lets hosts exchange their observations.
+fn exchange(now: Instant, trials: &mut [&mut Trial]) {
+    let observations = trials.iter().map(|trial| trial.observation(now)).collect::<Vec<_>>();
+    for (host, trial) in trials.iter_mut().enumerate() {
+        for (peer, observation) in observations.iter().enumerate().filter(|(peer, _)| *peer != host) {
+            trial.merge_peer(now, &format!("peer-{peer}"), observation.clone());
+        }
+    }
+}
+
+/// Three hosts at which both versions are good until 8 s after the order.
+fn three_hosts_at_8_s() -> [Trial; 3] {
+    let mut trials = [(); 3].map(|()| Trial::new(order(), Instant::ZERO, ["v1".to_owned()].into()));
+    for at_ms in (0..=8_000).step_by(200) {
+        let now = Instant::from_millis(at_ms);
+        for trial in &mut trials {
+            trial.record("book", "v1", Outcome::Responded(Duration::from_millis(60)));
+            trial.record("book", "v2", Outcome::Responded(Duration::from_millis(60)));
+        }
+        let [first, second, third] = &mut trials;
+        exchange(now, &mut [first, second, third]);
+        for trial in &mut trials {
+            trial.decide(now, 3);
+        }
+    }
+    trials
+}
+
+/// Guards against a host that was paused over the deadline of an order and decides alone, by what it knew before, that
+/// a version is good that its peers have rolled back.
+#[test]
+fn paused_host_decides_nothing_before_it_hears_of_its_peers() {
+    let [mut first, mut second, mut paused] = three_hosts_at_8_s();
+    let stale = first.observation(Instant::from_millis(8_000));
+    for at_ms in (8_200..=12_000).step_by(200) {
+        let now = Instant::from_millis(at_ms);
+        first.record("book", "v2", Outcome::Failed);
+        second.record("book", "v2", Outcome::Failed);
+        exchange(now, &mut [&mut first, &mut second]);
+        first.decide(now, 3);
+        second.decide(now, 3);
+    }
+    assert_eq!(first.state(), State::RolledBack);
+
+    let woken = Instant::from_millis(12_000);
+    paused.lose_contact();
+    assert_eq!(paused.decide(woken, 3), State::InProgress);
+    assert_eq!(
+        paused.versions(woken, EXPOSURE, 3),
+        Versions::Except(["v2".to_owned()].into())
+    );
+    // A datagram that arrived before the pause is read after it.
+    paused.merge_peer(woken, "peer-0", stale);
+    assert_eq!(paused.decide(woken, 3), State::InProgress);
+    assert_eq!(
+        paused.unwritten(),
+        Some(State::InProgress),
+        "the order itself may be written"
+    );
+
+    paused.merge_peer(woken, "peer-0", first.observation(woken));
+    assert_eq!(paused.decide(woken, 3), State::RolledBack);
+    assert_eq!(paused.unwritten(), Some(State::RolledBack));
+}
+
+/// Guards against a host that is cut off from its peers and completes an order by what it knew before.
+#[test]
+fn host_without_contact_decides_nothing_and_leaves_the_trial() {
+    let [mut alone, ..] = three_hosts_at_8_s();
+    for at_ms in (8_200..=14_000).step_by(200) {
+        // Its membership counts the others as failed after some time.
+        let live_hosts = if at_ms < 11_000 { 3 } else { 1 };
+        assert_eq!(alone.decide(Instant::from_millis(at_ms), live_hosts), State::InProgress);
+    }
+    let now = Instant::from_millis(14_000);
+    assert_eq!(
+        alone.versions(now, EXPOSURE, 1),
+        Versions::Except(["v2".to_owned()].into())
+    );
+}
+
+/// Guards against a host that overwrites the final state of the store with its own verdict.
+#[test]
+fn final_state_of_the_store_replaces_the_verdict_and_is_not_written_again() {
+    let [mut trial, ..] = three_hosts_at_8_s();
+    let now = Instant::from_millis(8_200);
+    for _ in 0..60 {
+        trial.record("book", "v2", Outcome::Failed);
+    }
+    assert_eq!(trial.decide(now, 3), State::RolledBack);
+    assert_eq!(trial.unwritten(), Some(State::RolledBack));
+    let completed = Order {
+        state: State::Completed,
+        is_new: false,
+        revision: 2,
+        ..order()
+    };
+    trial.update(completed);
+    assert_eq!(trial.decide(now, 3), State::Completed);
+    assert_eq!(trial.unwritten(), None);
+    assert_eq!(trial.stable_versions(), Versions::Except(["v1".to_owned()].into()));
+}
+
+/// Guards against hosts that differ for good because each keeps the verdict that it reached first: a host that has seen
+/// the version fail prevails until the store holds a final state.
+#[test]
+fn rollback_prevails_over_completion_until_the_store_holds_a_state() {
+    let [mut first, mut second, _] = three_hosts_at_8_s();
+    let due = Instant::from_millis(11_600);
+    exchange(due, &mut [&mut first, &mut second]);
+    assert_eq!(first.decide(due, 3), State::Completed);
+    for _ in 0..60 {
+        second.record("book", "v2", Outcome::Failed);
+    }
+    assert_eq!(second.decide(due, 3), State::RolledBack);
+    exchange(due, &mut [&mut first, &mut second]);
+    assert_eq!(first.state(), State::RolledBack);
+    assert_eq!(second.state(), State::RolledBack);
+}
+
 /// The interval between requests of a deployment with many hosts, each of which sees a few requests during an order.
 const SPARSE_STEP_MS: u64 = 30;
 const MANY_HOSTS: usize = 86;
@@ -250,7 +370,7 @@
                 for (peer, observation) in observations.iter().enumerate().filter(|(peer, _)| *peer != host) {
                     trial.merge_peer(now, &format!("peer-{peer}"), observation.clone());
                 }
-                trial.decide(now);
+                trial.decide(now, MANY_HOSTS);
             }
         }
         let state = trials[0].state();
