Compare copies of a rollout order by revision on every path

Cause: nothing named an order. A host that knew any order of a service ignored what peers said of another one, in updates of watchers, in observations and in the state for a host that starts; a removal reached only watchers.

Ruled out: lost updates (watchers announce all orders each second).

Change: each copy of an order says for which revisions of the store it holds. Order::relation alone decides whether a copy is the same order, an earlier or a later one; Rollouts::put applies it for the watch, the list, updates, observations and the start from a peer. Announcements carry the revision up to which they are complete, so that removals reach all hosts and a late copy of a removed order is ignored. Versions that were rolled back or abandoned stay out of use during the next order. An entry that cannot be decoded no longer removes the order that is known. The orders are read again after an outage of the store, as their watch may hang.

tests/rollout.rs and tests/model_rollouts.rs: the model runs the real decisions of several hosts beside a small store, with pauses, cuts, restarts, orders in any sequence, and messages and calls that are lost or late.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -102,7 +102,7 @@
     /// A target's host does not respond, and other hosts do not respond either.
     945 Warn LinkSuspected { target: &'a str, data_centre: &'a str }
     /// A rollout of a service to another version was ordered.
-    946 Info RolloutOrdered { service: &'a str, version: &'a str, duration_ms: u64, state: &'a str }
+    946 Info RolloutOrdered { service: &'a str, version: &'a str, duration_ms: u64, state: &'a str, revision: u64 }
     /// The trial of a version has ended.
     947 Warn RolloutDecided { service: &'a str, version: &'a str, state: &'a str, old: u64, old_bad: u64, new: u64, new_bad: u64, age_ms: u64 }
     /// The state of a rollout order was written to the store.
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -63,7 +63,12 @@
         changes: Vec<Change>,
     },
     /// All rollout orders.
-    Orders(Vec<Order>),
+    AllOrders {
+        /// The revision.
+        revision: u64,
+        /// The orders.
+        orders: Vec<Order>,
+    },
     /// All targets.
     AllTargets {
         /// The revision.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,6 +7,7 @@
 mod watcher;
 
 use std::cell::{Cell, RefCell, RefMut};
+use std::collections::BTreeSet;
 use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -278,7 +279,20 @@
         &self.orders_outdated
     }
 
-    /// Stores a rollout order read from the store.
+    /// Applies all rollout orders as of a revision of the store, which a peer or the store sent. The orders of services
+    /// in `unusable` cannot be decoded; what is known of them stays.
+    pub(crate) fn apply_rollouts(&self, orders: Vec<Order>, unusable: BTreeSet<String>, revision: u64) {
+        let mut listed = unusable;
+        for order in orders {
+            listed.insert(order.service.clone());
+            self.put_rollout(order);
+        }
+        let mut rollouts = self.rollouts.borrow_mut();
+        rollouts.retain(&listed, revision);
+        rollouts.set_revision(revision);
+    }
+
+    /// Stores a rollout order that a peer or the store sent.
     pub(crate) fn put_rollout(&self, order: Order) {
         let before = self.fleet.borrow().versions_of(&order.service);
         self.rollouts.borrow_mut().put(self.now(), order, before);
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -9,7 +9,7 @@
 
 use crate::duration::millis;
 use crate::event::Event;
-use crate::rollout::{Order, State};
+use crate::rollout::{Order, Relation, State};
 use crate::target::Target;
 use crate::trial::{Exposure, Latency, Observation, Outcome, Trial};
 use crate::versions::Versions;
@@ -24,8 +24,8 @@
 pub struct Rollouts {
     exposure: Exposure,
     trials: BTreeMap<String, (Trial, Option<Instant>)>,
-    /// Whether the orders were read from the store or a peer.
-    is_known: bool,
+    /// The revision of the store up to which all orders are known.
+    revision: Option<u64>,
     /// When the last pause of the process ended.
     resumed_at: Option<Instant>,
     next_wait: u64,
@@ -38,59 +38,76 @@
         Self {
             exposure,
             trials: BTreeMap::new(),
-            is_known: false,
+            revision: None,
             resumed_at: None,
             next_wait: 0,
             random: SmallRng::seed_from_u64(seed),
         }
     }
 
-    /// Adds or updates an order from the store. `initial_versions` are the versions of the service's targets.
-    pub fn put(&mut self, now: Instant, order: Order, initial_versions: BTreeSet<String>) {
-        if let Some((trial, _)) = self.trials.get_mut(&order.service)
-            && trial.is_new(&order.version)
-            // If the store no longer holds a state that was written, the operator has given the order again.
-            && (!order.is_new || trial.order().is_new)
-        {
-            trial.update(order);
-            return;
+    /// Adds an order, or merges it with what is known of it. An order that was replaced or removed is ignored.
+    ///
+    /// All orders pass here, whether the store or a peer sent them. `versions` are those of the service's targets.
+    pub fn put(&mut self, now: Instant, mut order: Order, versions: BTreeSet<String>) {
+        match self.trials.get_mut(&order.service) {
+            Some((trial, _)) => match trial.order().relation(&order) {
+                Relation::Earlier => return,
+                Relation::Same => return trial.update(order, versions),
+                Relation::Later => {
+                    let rejected = trial.rejected_versions().into_iter();
+                    order
+                        .rejected
+                        .extend(rejected.filter(|version| versions.contains(version)));
+                }
+            },
+            None if self.revision.is_some_and(|revision| order.revision <= revision) => return,
+            None => {}
         }
+        order.rejected.remove(&order.version);
         Event::RolloutOrdered {
             service: &order.service,
             version: &order.version,
             duration_ms: millis(order.duration),
             state: order.state.name(),
+            revision: order.revision,
             what: "a service is to move to targets of another version",
         }
         .log();
         let service = order.service.clone();
-        let trial = Trial::new(order, now, initial_versions).with_rounding(self.random.random());
+        let trial = Trial::new(order, now, versions).with_rounding(self.random.random());
         self.trials.insert(service, (trial, None));
     }
 
-    /// Records that the orders were read from the store or a peer.
-    pub(crate) fn mark_known(&mut self) {
-        self.is_known = true;
+    /// Removes the order of a service that the store did not have at a revision.
+    pub fn remove(&mut self, service: &str, revision: u64) {
+        let is_older = |(trial, _): &(Trial, Option<Instant>)| trial.order().revision <= revision;
+        if self.trials.get(service).is_some_and(is_older) {
+            self.trials.remove(service);
+        }
     }
 
-    /// Returns whether the orders were read from the store or a peer.
-    pub(crate) fn is_known(&self) -> bool {
-        self.is_known
+    /// Removes the orders that are missing from the list of all orders at a revision.
+    pub fn retain(&mut self, listed: &BTreeSet<String>, revision: u64) {
+        let missing = self.trials.keys().filter(|service| !listed.contains(*service));
+        for service in missing.cloned().collect::<Vec<_>>() {
+            self.remove(&service, revision);
+        }
     }
 
-    /// Returns the orders, for hosts that lack them.
-    pub(crate) fn orders(&self) -> impl Iterator<Item = &Order> {
-        self.trials.values().map(|(trial, _)| trial.order())
+    /// Records that all orders are known up to a revision of the store.
+    pub fn set_revision(&mut self, revision: u64) {
+        self.revision = self.revision.max(Some(revision));
     }
 
-    /// Removes the order of a service.
-    pub fn remove(&mut self, service: &str) {
-        self.trials.remove(service);
+    /// Returns the revision of the store up to which all orders are known; `None` if the orders were read neither from
+    /// the store nor from a peer.
+    pub(crate) fn revision(&self) -> Option<u64> {
+        self.revision
     }
 
-    /// Returns the services with an order.
-    pub fn services(&self) -> impl Iterator<Item = &str> {
-        self.trials.keys().map(String::as_str)
+    /// Returns the orders, for hosts that lack them.
+    pub fn orders(&self) -> Vec<Order> {
+        self.trials.values().map(|(trial, _)| trial.order().clone()).collect()
     }
 
     /// Returns whether any trial is in progress, any verdict is being announced or any state is not written yet.
@@ -158,24 +175,26 @@
         trial.is_some_and(|(trial, _)| trial.end_wait(id))
     }
 
-    /// Merges the state and the counts of a peer, and adds the order if this host does not know it. Returns whether the
-    /// state of the trial has changed.
+    /// Merges the order, the state and the counts of a peer. Returns whether the state of the trial has changed.
     pub fn merge_peer(
         &mut self,
         now: Instant,
         peer: &str,
         observation: Observation,
-        initial_versions: BTreeSet<String>,
+        versions: BTreeSet<String>,
     ) -> bool {
-        if !self.trials.contains_key(&observation.order.service) {
-            self.put(now, observation.order.clone(), initial_versions);
+        let before = self.state(&observation.order.service);
+        self.put(now, observation.order.clone(), versions);
+        let service = observation.order.service.clone();
+        if let Some((trial, _)) = self.trials.get_mut(&service) {
+            trial.merge_peer(now, peer, observation);
         }
-        let Some((trial, _)) = self.trials.get_mut(&observation.order.service) else {
-            return false;
-        };
-        let before = trial.state();
-        trial.merge_peer(now, peer, observation);
-        trial.state() != before
+        self.state(&service) != before
+    }
+
+    /// Returns the state of a service's order.
+    pub fn state(&self, service: &str) -> Option<State> {
+        self.trials.get(service).map(|(trial, _)| trial.state())
     }
 
     /// Makes the trials wait for the peers, because the process was paused.
@@ -202,7 +221,7 @@
     }
 
     /// Returns the time until the next trial is due for a verdict, if there is one.
-    pub(crate) fn time_to_verdict(&self, now: Instant) -> Option<Duration> {
+    pub fn time_to_verdict(&self, now: Instant) -> Option<Duration> {
         let trials = self.trials.values().map(|(trial, _)| trial);
         let open = trials.filter(|trial| !trial.state().is_final());
         let times = open.map(|trial| trial.time_to_verdict(now));
--- a/crates/gateway/src/rollouts_runner.rs
+++ b/crates/gateway/src/rollouts_runner.rs
@@ -1,5 +1,6 @@
 //! Follows orders in the store, exchanges the counts of trials with peers, and writes the states of orders.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -7,7 +8,6 @@
 use crate::feed::Update;
 use crate::gateway::Gateway;
 use crate::platform::{Change, Failure, Kind, Object, Platform};
-use crate::rollout::Order;
 use crate::trial_contact::observation_interval;
 use crate::unusable;
 
@@ -51,7 +51,7 @@
         }
         let ready_at = self.gateway.now();
         loop {
-            let is_known = self.gateway.rollouts().borrow().is_known();
+            let is_known = self.gateway.rollouts().borrow().revision().is_some();
             let may_wait = is_known || self.gateway.now().since(ready_at) < PEER_PATIENCE;
             if may_wait && !self.gateway.is_watcher() {
                 self.gateway.timer().sleep(RETRY_DELAY).await;
@@ -83,35 +83,36 @@
     async fn announce(&self) {
         loop {
             self.gateway.timer().sleep(ANNOUNCEMENT_INTERVAL).await;
-            let orders = {
+            if !self.gateway.is_watcher() {
+                continue;
+            }
+            let update = {
                 let rollouts = self.gateway.rollouts().borrow();
-                rollouts.is_known().then(|| rollouts.orders().cloned().collect())
+                rollouts.revision().map(|revision| Update::AllOrders {
+                    revision,
+                    orders: rollouts.orders(),
+                })
             };
-            if let Some(orders) = orders.filter(|_| self.gateway.is_watcher()) {
-                self.gateway.peers().broadcast_update(Update::Orders(orders));
+            if let Some(update) = update {
+                self.gateway.peers().broadcast_update(update);
             }
         }
     }
 
     async fn list(&self) -> Result<u64, Failure> {
         let listing = self.platform.list(Kind::Rollouts).await?;
-        let objects = listing.objects.into_iter();
-        let orders = objects
-            .filter_map(|object| order(&self.unusable, object, listing.revision))
-            .collect::<Vec<_>>();
-        let known = self.gateway.rollouts().borrow();
-        let removed = known
-            .services()
-            .filter(|service| orders.iter().all(|order| order.service != *service));
-        let removed = removed.map(str::to_owned).collect::<Vec<_>>();
-        drop(known);
-        for service in removed {
-            self.gateway.rollouts().borrow_mut().remove(&service);
-        }
-        for order in orders {
-            self.gateway.put_rollout(order);
+        let (mut orders, mut unusable) = (Vec::new(), BTreeSet::new());
+        for object in listing.objects {
+            match object {
+                Object::Rollout(order) => orders.push(order),
+                Object::Unusable { name, reason } => {
+                    self.unusable.record(&name, &reason, listing.revision);
+                    unusable.insert(name);
+                }
+                Object::Config(_) | Object::Target(_) => {}
+            }
         }
-        self.gateway.rollouts().borrow_mut().mark_known();
+        self.gateway.apply_rollouts(orders, unusable, listing.revision);
         Ok(listing.revision)
     }
 
@@ -119,15 +120,17 @@
         let changes = self.platform.watch(Kind::Rollouts, since, MAX_WATCH_WAIT).await?;
         for change in changes.changes {
             match change {
-                Change::Put(object) => {
-                    if let Some(order) = order(&self.unusable, object, changes.revision) {
-                        self.gateway.put_rollout(order);
-                    }
+                Change::Put(Object::Rollout(order)) => self.gateway.put_rollout(order),
+                Change::Put(Object::Unusable { name, reason }) => {
+                    self.unusable.record(&name, &reason, changes.revision);
                 }
-                Change::Deleted(service) => self.gateway.rollouts().borrow_mut().remove(&service),
+                Change::Put(Object::Config(_) | Object::Target(_)) => {}
+                Change::Deleted(service) => self.gateway.rollouts().borrow_mut().remove(&service, changes.revision),
             }
         }
-        Ok(changes.revision.max(since))
+        let revision = changes.revision.max(since);
+        self.gateway.rollouts().borrow_mut().set_revision(revision);
+        Ok(revision)
     }
 
     /// Decides on trials, sends this host's counts to peers, and writes states.
@@ -183,14 +186,3 @@
         }
     }
 }
-
-fn order(unusable: &unusable::Log, object: Object, revision: u64) -> Option<Order> {
-    match object {
-        Object::Rollout(order) => Some(order),
-        Object::Unusable { name, reason } => {
-            unusable.record(&name, &reason, revision);
-            None
-        }
-        Object::Config(_) | Object::Target(_) => None,
-    }
-}
--- a/crates/gateway/src/state_sender.rs
+++ b/crates/gateway/src/state_sender.rs
@@ -48,8 +48,17 @@
     #[serde(default)]
     pub departures: Vec<Departure>,
     /// The rollout orders, if the sender knows them.
-    #[serde(default)]
-    pub orders: Option<Vec<Order>>,
+    #[serde(default, rename = "rollouts")]
+    pub orders: Option<Orders>,
+}
+
+/// The rollout orders as of a store revision.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct Orders {
+    /// The store's revision.
+    pub revision: u64,
+    /// The orders.
+    pub orders: Vec<Order>,
 }
 
 /// The responses for peers.
@@ -180,9 +189,13 @@
     Ok(body)
 }
 
-fn known_orders(gateway: &Gateway) -> Option<Vec<Order>> {
+fn known_orders(gateway: &Gateway) -> Option<Orders> {
     let rollouts = gateway.rollouts().borrow();
-    rollouts.is_known().then(|| rollouts.orders().cloned().collect())
+    let revision = rollouts.revision()?;
+    Some(Orders {
+        revision,
+        orders: rollouts.orders(),
+    })
 }
 
 /// Returns the departures in an order that depends on nothing else, so that equal state is compressed once.
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -287,6 +287,8 @@
         if now.since(since) >= MIN_LAPSE_OUTAGE {
             self.registry.record_available();
         }
+        // A watch of the orders from before the outage may never return.
+        self.gateway.orders_outdated().notify_one();
         let away_ms = millis(now.since(since));
         let what = "the platform's store is available again";
         Event::DependencyBack {
--- a/crates/gateway/src/sync/fetch.rs
+++ b/crates/gateway/src/sync/fetch.rs
@@ -1,5 +1,6 @@
 //! Requests for state to peers: at start, and for what an update announced but did not carry.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -128,7 +129,8 @@
             self.gateway.add_departure(departure, "peer");
         }
         if let Some(orders) = fetched.orders {
-            self.add_orders(orders);
+            self.gateway
+                .apply_rollouts(orders.orders, BTreeSet::new(), orders.revision);
         }
         let known = self.gateway.fleet_revision();
         if fetched.revision <= known {
--- a/crates/gateway/src/sync/updates.rs
+++ b/crates/gateway/src/sync/updates.rs
@@ -1,12 +1,12 @@
 //! Updates between hosts: what a watcher announces and how the others apply it.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use crate::config_delta::Delta;
 use crate::datagram::Datagram;
 use crate::feed::{self, Step, Update};
 use crate::platform::{Change, Kind, Object, Platform};
-use crate::rollout::Order;
 use crate::target::Target;
 
 use super::Synchronizer;
@@ -86,7 +86,9 @@
                         revision,
                         changes,
                     } => self.apply_targets_update(since, revision, changes),
-                    Update::Orders(orders) => self.add_orders(orders),
+                    Update::AllOrders { revision, orders } => {
+                        self.gateway.apply_rollouts(orders, BTreeSet::new(), revision);
+                    }
                     Update::AllTargets { revision, targets } => self.apply_target_list(revision, targets),
                 }
             }
@@ -130,18 +132,6 @@
         }
         self.mark_current(Kind::Targets);
     }
-
-    /// Adds the orders that a peer knows. Orders that this host knows may be newer.
-    pub(super) fn add_orders(&self, orders: Vec<Order>) {
-        let rollouts = self.gateway.rollouts();
-        for order in orders {
-            let is_known = rollouts.borrow().services().any(|service| service == order.service);
-            if !is_known {
-                self.gateway.put_rollout(order);
-            }
-        }
-        rollouts.borrow_mut().mark_known();
-    }
 }
 
 /// Converts a change of a target for an update to peers.
--- a/crates/gateway/src/trial.rs
+++ b/crates/gateway/src/trial.rs
@@ -12,7 +12,7 @@
 
 use crate::baseline::Baseline;
 use crate::duration::millis;
-use crate::rollout::{Order, State};
+use crate::rollout::{Order, Relation, State};
 use crate::trial_contact::Contact;
 pub use crate::trial_evidence::{Counts, Evidence, Latency, RouteCounts};
 use crate::versions::Versions;
@@ -157,9 +157,23 @@
         }
     }
 
-    /// Updates the order from the store.
-    pub fn update(&mut self, order: Order) {
-        self.order = order;
+    /// Merges another copy of the order. `versions` are those of the service's targets now, of which some may have
+    /// appeared since the order was received.
+    pub fn update(&mut self, order: Order, versions: BTreeSet<String>) {
+        self.order.merge(order);
+        if self.state() == State::InProgress {
+            let others = versions.into_iter().filter(|version| *version != self.order.version);
+            self.initial_versions.extend(others);
+        }
+    }
+
+    /// Returns the versions that a later order for another version has to keep out of use.
+    pub fn rejected_versions(&self) -> BTreeSet<String> {
+        let mut rejected = self.order.rejected.clone();
+        if self.state() != State::Completed {
+            rejected.insert(self.order.version.clone());
+        }
+        rejected
     }
 
     /// Makes the trial wait for its peers, because the process was paused: they may have ended it, and requests that
@@ -187,9 +201,8 @@
     pub fn versions(&mut self, now: Instant, exposure: Exposure, hosts: usize) -> Versions {
         self.requests += 1;
         match self.state() {
-            State::Completed => return Versions::Except(self.initial_versions.clone()),
             State::InProgress if !self.is_suspended => {}
-            State::InProgress | State::RolledBack => return self.stable_versions(),
+            State::InProgress | State::Completed | State::RolledBack => return self.stable_versions(),
         }
         let elapsed_share = self.age(now).as_secs_f64() / self.order.duration.as_secs_f64().max(1.0);
         let slack = exposure.slack / hosts.max(1) as f64 * elapsed_share.min(1.0);
@@ -208,10 +221,14 @@
 
     /// Returns the versions for work that must not use the version on trial: retries and copies of streams.
     pub fn stable_versions(&self) -> Versions {
+        let mut excluded = self.order.rejected.clone();
         match self.state() {
-            State::Completed => Versions::Except(self.initial_versions.clone()),
-            State::InProgress | State::RolledBack => Versions::Except([self.order.version.clone()].into()),
+            State::Completed => excluded.extend(self.initial_versions.iter().cloned()),
+            State::InProgress | State::RolledBack => {
+                excluded.insert(self.order.version.clone());
+            }
         }
+        Versions::Except(excluded)
     }
 
     /// Counts a request that went to the new version.
@@ -332,7 +349,7 @@
 
     /// Merges the state and the counts of a peer. If the peer knew the order earlier, its time is used.
     pub fn merge_peer(&mut self, now: Instant, peer: &str, observation: Observation) {
-        if observation.order.version != self.order.version {
+        if self.order.relation(&observation.order) != Relation::Same {
             return;
         }
         let age = Duration::from_millis(observation.age_ms);
--- /dev/null
+++ b/crates/gateway/tests/model/host.rs
@@ -0,0 +1,117 @@
+//! A host: the real decisions, and what it has read of the store.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use hawthornpost_core::clock::Instant;
+use hawthornpost_gateway::rollout::{Order, State};
+use hawthornpost_gateway::rollouts::Rollouts;
+use hawthornpost_gateway::trial::Observation;
+use hawthornpost_gateway::versions::Versions;
+
+use super::message::Contents;
+use super::{EXPOSURE, SERVICE};
+
+/// The interval of decisions, and its addition per host.
+const MIN_INTERVAL: Duration = Duration::from_millis(200);
+const INTERVAL_PER_HOST: Duration = Duration::from_millis(8);
+
+pub struct Host {
+    pub rollouts: Rollouts,
+    pub is_paused: bool,
+    pub is_cut_off: bool,
+    /// Since when the host has been running and connected.
+    pub contact_since: Instant,
+    /// Whether the orders have to be listed, as changes may have been missed.
+    pub must_list: bool,
+    pub known_revision: u64,
+    pub next_announcement: Instant,
+    next_decision: Instant,
+    /// The highest revision at which the host has known an order.
+    last_order: u64,
+}
+
+impl Host {
+    pub fn new(now: Instant, seed: u64) -> Self {
+        Self {
+            rollouts: Rollouts::new(EXPOSURE, seed),
+            is_paused: false,
+            is_cut_off: false,
+            contact_since: now,
+            must_list: true,
+            known_revision: 0,
+            next_announcement: now,
+            next_decision: now + Duration::from_millis(seed % 200),
+            last_order: 0,
+        }
+    }
+
+    pub fn revision(&self) -> u64 {
+        self.known_revision
+    }
+
+    pub fn orders(&self) -> Vec<Order> {
+        self.rollouts.orders()
+    }
+
+    pub fn order(&self) -> Option<Order> {
+        self.orders().pop()
+    }
+
+    pub fn put(&mut self, now: Instant, order: Order) {
+        self.rollouts.put(now, order, all_versions());
+        self.check_order();
+    }
+
+    pub fn apply(&mut self, now: Instant, contents: &Contents) {
+        let Contents::AllOrders(revision, orders) = contents else {
+            return;
+        };
+        for order in orders {
+            self.put(now, order.clone());
+        }
+        let listed = orders.iter().map(|order| order.service.clone()).collect();
+        self.rollouts.retain(&listed, *revision);
+        self.rollouts.set_revision(*revision);
+        self.known_revision = self.known_revision.max(*revision);
+    }
+
+    pub fn merge(&mut self, now: Instant, from: usize, observation: Observation) {
+        let is_changed = self
+            .rollouts
+            .merge_peer(now, &format!("host-{from}"), observation, all_versions());
+        if is_changed {
+            self.next_decision = now;
+        }
+        self.check_order();
+    }
+
+    /// Decides if it is time to, and returns the observations for peers and the states to write.
+    pub fn decide(&mut self, now: Instant, hosts: usize) -> (Vec<Observation>, Vec<(Order, State)>) {
+        if now < self.next_decision {
+            return (Vec::new(), Vec::new());
+        }
+        let interval = MIN_INTERVAL.max(INTERVAL_PER_HOST * u32::try_from(hosts).unwrap_or(u32::MAX));
+        let observations = self.rollouts.decide(now, hosts);
+        let due = self.rollouts.time_to_verdict(now);
+        self.next_decision = now + due.map_or(interval, |due| due.min(interval));
+        (observations, self.rollouts.unwritten())
+    }
+
+    pub fn versions(&mut self, now: Instant, hosts: usize) -> Versions {
+        self.rollouts.versions(now, SERVICE, || hosts).unwrap_or(Versions::Any)
+    }
+
+    /// A host never goes back to an earlier order.
+    fn check_order(&mut self) {
+        let Some(order) = self.order() else {
+            return;
+        };
+        assert!(order.revision >= self.last_order, "{order:?} after {}", self.last_order);
+        self.last_order = order.revision;
+    }
+}
+
+fn all_versions() -> BTreeSet<String> {
+    ["v1", "v2", "v3", "other"].map(str::to_owned).into()
+}
--- a/crates/gateway/tests/trial.rs
+++ b/crates/gateway/tests/trial.rs
@@ -1,5 +1,6 @@
 //! Trials of new versions.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use hawthornpost_core::clock::Instant;
@@ -29,6 +30,8 @@
         state: State::InProgress,
         is_new: true,
         revision: 1,
+        since: 1,
+        rejected: BTreeSet::new(),
     }
 }
 
@@ -134,7 +137,7 @@
     assert_eq!(trial.decide(Instant::ZERO + DURATION, 1), State::RolledBack);
     let mut later = order();
     later.is_new = false;
-    trial.update(later);
+    trial.update(later, BTreeSet::new());
     assert_eq!(trial.state(), State::RolledBack);
     assert_eq!(trial.stable_versions(), Versions::Except(["v2".to_owned()].into()));
 }
@@ -256,7 +259,7 @@
         revision: 2,
         ..order()
     };
-    trial.update(completed);
+    trial.update(completed, BTreeSet::new());
     assert_eq!(trial.decide(now, 3), State::Completed);
     assert_eq!(trial.unwritten(), None);
     assert_eq!(trial.stable_versions(), Versions::Except(["v1".to_owned()].into()));
