Test that a service goes back to the version before its first order

For hosts that kept the first order, the version before it stayed excluded for good, and the only other one had ended.

The test fails with the old rule, under which a final order is never replaced.

--- a/crates/gateway/tests/rollout.rs
+++ b/crates/gateway/tests/rollout.rs
@@ -147,3 +147,17 @@
     host.put(now, order("v2", 35, COMPLETED), versions(&["v2", "v3"]));
     assert_eq!(host.stable_versions(SERVICE), except(&["v3"]));
 }
+
+/// Guards against a host without any target to use: after an order and one back to the version before, it would use
+/// neither.
+#[test]
+fn version_before_the_first_order_is_used_again_after_an_order_back_to_it() {
+    let now = Instant::ZERO;
+    let mut host = rollouts();
+    host.put(now, order("v2", 10, None), versions(&["v1", "v2"]));
+    host.put(now, order("v2", 15, COMPLETED), versions(&["v1", "v2"]));
+    host.put(now, order("v1", 20, None), versions(&["v1", "v2"]));
+    assert_eq!(host.stable_versions(SERVICE), except(&["v1"]));
+    host.put(now, order("v1", 25, COMPLETED), versions(&["v1", "v2"]));
+    assert_eq!(host.stable_versions(SERVICE), except(&["v2"]));
+}
