Judge a version on trial by its latest outcomes too

Cause: the gateway compared one sum of all outcomes since the order, so failures late in the trial were diluted by the successes before them. core::rollout_judge searches the latest intervals, but the gateway did not use it.

Ruled out: too few outcomes (the old sum needs 60 failures after 123 successes, the search about 10).

Change: one test for both judges. The gateway keeps the totals of all hosts at 24 times of the order and gives the core's search the intervals between them; is_worse is gone. The counts of a peer that restarts are kept beside those of its new process, and a late datagram does not replace a later one, so that totals only grow. A host completes an order only if no doubt of 2 % is left and it has heard of its peers for a quarter of the order; a larger part of the exposure is used late, within what is allowed.

--- a/crates/core/src/rollout.rs
+++ b/crates/core/src/rollout.rs
@@ -12,7 +12,7 @@
 use crate::id::{Entry, Rollout, Route, Target, Version};
 pub use crate::rollout_counters::{Counters, Histogram};
 pub use crate::rollout_evidence::Evidence;
-pub use crate::rollout_judge::{is_worse, judge};
+pub use crate::rollout_judge::{Pair, find_worse, judge};
 pub use crate::rollout_ledger::{Cell, Key, Ledger};
 pub use crate::rollout_registry::{Choice, Command, Delta, Known, Registry, Report, Revisions};
 pub use crate::rollout_share::{Fleet, Schedule, Share};
--- a/crates/core/src/rollout_judge.rs
+++ b/crates/core/src/rollout_judge.rs
@@ -38,17 +38,19 @@
 const PRIOR_LIFETIME_SECS: f64 = 3600.0;
 
 /// Bad and all requests of both versions in one interval.
-#[derive(Clone, Copy, Debug, Default)]
-struct Pair {
-    new: Rate,
-    old: Rate,
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Pair {
+    /// The requests to the new version.
+    pub new: Rate,
+    /// The requests to the old version.
+    pub old: Rate,
 }
 
 /// Returns the reason if the new version has to be reversed.
 pub fn judge(evidence: &Evidence, schedule: &Schedule, now: Timestamp) -> Option<Reason> {
     let groups = evidence.groups();
     let tests = (groups.len() * 3 + 1) as f64 * f64::from(Schedule::INTERVALS);
-    let threshold = (tests / FALSE_ALARM_PROBABILITY).ln();
+    let threshold = threshold(tests, FALSE_ALARM_PROBABILITY);
     let bad_group = groups
         .iter()
         .find_map(|(route, routes)| judge_group(evidence, route.as_ref(), routes, threshold));
@@ -126,18 +128,32 @@
     found.map(|found| (Histogram::end_of(slow), found))
 }
 
-/// Returns the counts since the latest onset from which the new version is significantly worse.
-fn compare(pairs: &[Pair], floor: f64, threshold: f64) -> Option<Pair> {
-    let sum = pairs.iter().map(|pair| pair.old).fold(Rate::default(), Rate::plus);
-    // Without requests of the old version there is no baseline.
-    if sum.of == 0 {
-        return None;
-    }
-    let overall = sum.fraction();
+/// Returns the counts since the latest onset from which the new version is significantly worse, if there is a baseline.
+fn compare(intervals: &[Pair], floor: f64, threshold: f64) -> Option<Pair> {
+    let has_baseline = intervals.iter().any(|pair| pair.old.of > 0);
+    has_baseline.then(|| search(intervals, floor, threshold))?
+}
+
+/// Returns the counts since the latest onset from which the new version is significantly worse, out of successive
+/// intervals.
+///
+/// A good version is found worse with at most the probability `false_alarms`, in all of `tests` tests together. The search
+/// may be repeated after every request. A version whose rate of bad requests is below `floor` is never worse;
+/// without requests of the old version, one above it may be.
+pub fn find_worse(intervals: &[Pair], floor: f64, tests: u32, false_alarms: f64) -> Option<Pair> {
+    search(intervals, floor, threshold(f64::from(tests), false_alarms))
+}
+
+fn search(intervals: &[Pair], floor: f64, threshold: f64) -> Option<Pair> {
+    let overall = intervals
+        .iter()
+        .copied()
+        .fold(Pair::default(), Pair::plus)
+        .old
+        .fraction();
     let mut since = Pair::default();
-    pairs.iter().rev().find_map(|pair| {
-        since.new = since.new.plus(pair.new);
-        since.old = since.old.plus(pair.old);
+    intervals.iter().rev().find_map(|pair| {
+        since = since.plus(*pair);
         let bound = bound(since.old, overall).max(floor);
         // Below the bound every alternative is less likely, so the likelihood ratio need not be computed.
         let may_be_bad = since.new.bad >= MIN_BAD_COUNT && since.new.fraction() > bound;
@@ -145,13 +161,9 @@
     })
 }
 
-/// Returns whether a new version is significantly worse than the old one, for a single pair of counts.
-///
-/// The test may be repeated after every request. A version whose rate of bad requests is below `floor` is never worse.
-pub fn is_worse(new: Rate, old: Rate, floor: f64) -> bool {
-    let bound = bound(old, old.fraction()).max(floor);
-    let may_be_bad = new.bad >= MIN_BAD_COUNT && new.fraction() > bound;
-    may_be_bad && log_ratio(new, bound) >= (1.0 / FALSE_ALARM_PROBABILITY).ln()
+/// Returns the logarithm of the likelihood ratio from which a version is worse, if that is tested in several ways.
+fn threshold(tests: f64, false_alarms: f64) -> f64 {
+    (tests / false_alarms).ln()
 }
 
 /// Returns the highest rate that counts as good.
@@ -224,7 +236,34 @@
     rates
 }
 
+impl Pair {
+    /// Returns the counts that were added since `earlier`.
+    #[must_use]
+    pub fn minus(self, earlier: Self) -> Self {
+        Self {
+            new: self.new.minus(earlier.new),
+            old: self.old.minus(earlier.old),
+        }
+    }
+
+    /// Returns the sums of both counts.
+    #[must_use]
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            new: self.new.plus(other.new),
+            old: self.old.plus(other.old),
+        }
+    }
+}
+
 impl Rate {
+    fn minus(self, earlier: Self) -> Self {
+        Self {
+            bad: self.bad.saturating_sub(earlier.bad),
+            of: self.of.saturating_sub(earlier.of),
+        }
+    }
+
     fn plus(self, other: Self) -> Self {
         Self {
             bad: self.bad + other.bad,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -123,6 +123,8 @@
 pub mod trial;
 mod trial_contact;
 mod trial_evidence;
+mod trial_history;
+mod trial_peers;
 mod trial_wait;
 mod unusable;
 pub mod versions;
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -29,19 +29,23 @@
     /// When the last pause of the process ended.
     resumed_at: Option<Instant>,
     next_wait: u64,
+    /// Identifies this process to its peers.
+    process: u64,
     random: SmallRng,
 }
 
 impl Rollouts {
     /// Creates an empty table with the seed for random choices.
     pub fn new(exposure: Exposure, seed: u64) -> Self {
+        let mut random = SmallRng::seed_from_u64(seed);
         Self {
             exposure,
             trials: BTreeMap::new(),
             revision: None,
             resumed_at: None,
             next_wait: 0,
-            random: SmallRng::seed_from_u64(seed),
+            process: random.random(),
+            random,
         }
     }
 
@@ -74,7 +78,9 @@
         }
         .log();
         let service = order.service.clone();
-        let trial = Trial::new(order, now, versions).with_rounding(self.random.random());
+        let trial = Trial::new(order, now, versions)
+            .with_rounding(self.random.random())
+            .with_process(self.process);
         self.trials.insert(service, (trial, None));
     }
 
@@ -200,7 +206,7 @@
     /// Makes the trials wait for the peers, because the process was paused.
     pub fn resume(&mut self, now: Instant) {
         self.resumed_at = Some(now);
-        self.trials.values_mut().for_each(|(trial, _)| trial.lose_contact());
+        self.trials.values_mut().for_each(|(trial, _)| trial.lose_contact(now));
     }
 
     /// Decides on the trials and returns what is to be announced to peers.
@@ -249,10 +255,10 @@
         service: &order.service,
         version: &order.version,
         state: trial.state().name(),
-        old: total.old,
-        old_bad: total.old_bad,
-        new: total.new,
-        new_bad: total.new_bad,
+        old: total.old.of,
+        old_bad: total.old.bad,
+        new: total.new.of,
+        new_bad: total.new.bad,
         age_ms: millis(trial.age(now)),
         what: "the trial of a version has ended",
     }
--- a/crates/gateway/src/trial.rs
+++ b/crates/gateway/src/trial.rs
@@ -4,10 +4,11 @@
 //! requests at both versions and exchange the counts. Until the verdict the new version gets a small share of the
 //! requests, at few of its targets, so that each of these has the load that it would have afterwards.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use hawthornpost_core::clock::Instant;
+use hawthornpost_core::rollout::Pair;
 use serde::{Deserialize, Serialize};
 
 use crate::baseline::Baseline;
@@ -15,11 +16,19 @@
 use crate::rollout::{Order, Relation, State};
 use crate::trial_contact::Contact;
 pub use crate::trial_evidence::{Counts, Evidence, Latency, RouteCounts};
+use crate::trial_history::{COMPLETION_FALSE_ALARMS, History, ROLLBACK_FALSE_ALARMS, Totals};
+use crate::trial_peers::PeerEvidence;
 use crate::versions::Versions;
 
-/// The share of the allowed exposure that a trial uses. The rest absorbs requests that are counted elsewhere, and those
-/// between the verdict and the deadline.
-const USABLE_SHARE: f64 = 0.7;
+/// The share of the allowed exposure that a trial uses at its start. The rest absorbs requests that are counted elsewhere,
+/// and those between the verdict and the deadline.
+const MIN_USABLE_SHARE: f64 = 0.6;
+/// The share at the deadline. Most of the exposure is used late, because a version that turns bad late has to show it in
+/// the little time that is left.
+const MAX_USABLE_SHARE: f64 = 0.9;
+/// The fraction of an order's duration for which a host has to hear of its peers before it completes the order. What it
+/// knew before it lost contact says nothing of the version since then.
+const MIN_CONTACT_FRACTION: f64 = 0.25;
 /// The time before the deadline at which a good version replaces the old one. The old targets stop as soon as the order
 /// is complete, so an earlier verdict would cost more and have less evidence.
 const DECISION_MARGIN: Duration = Duration::from_millis(500);
@@ -32,8 +41,6 @@
 const SLOW_FACTOR: f64 = 2.0;
 /// The number of intervals between events at the start of a stream that are one outcome.
 pub const SAMPLED_INTERVALS: u32 = 32;
-/// The maximum number of peers whose counts are kept. The counts of a process that has ended stay valid.
-const MAX_PEERS: usize = 1024;
 
 /// The maximum traffic for a version that may be bad.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -56,6 +63,9 @@
     /// Whether the sender hears of enough hosts. Otherwise its state and its time may be those of before a pause.
     #[serde(default = "is_current_by_default")]
     pub is_current: bool,
+    /// Identifies the process, whose counts begin at zero.
+    #[serde(default)]
+    pub process: u64,
     /// The counts.
     #[serde(flatten)]
     pub evidence: Evidence,
@@ -96,6 +106,8 @@
     contact: Contact,
     /// Whether this host knows the trial as its peers do: it saw the trial begin, or heard of enough hosts lately.
     is_current: bool,
+    /// When this host last lacked contact with its peers.
+    lost_contact_at: Option<Instant>,
     /// Whether this host sends no requests to the new version, because its state may be outdated or the version fails.
     is_suspended: bool,
     /// The versions that the service had when the order was received.
@@ -105,8 +117,11 @@
     exposed: u64,
     /// The part of a request, below one, by which this host may exceed its share of the exposure.
     rounding: f64,
+    /// Identifies this process to its peers.
+    process: u64,
     own_evidence: Evidence,
-    peer_evidence: HashMap<String, Evidence>,
+    peer_evidence: PeerEvidence,
+    history: History,
     waits: HashMap<u64, Wait>,
 }
 
@@ -120,17 +135,20 @@
             contact: Contact::default(),
             // Others may have ended a trial that this host did not see begin.
             is_current: order.is_new,
+            lost_contact_at: None,
             is_suspended: !order.is_new,
             initial_versions: initial_versions
                 .into_iter()
                 .filter(|version| *version != order.version)
                 .collect(),
+            history: History::new(order.duration),
             order,
             requests: 0,
             exposed: 0,
             rounding: 0.0,
+            process: 0,
             own_evidence: Evidence::default(),
-            peer_evidence: HashMap::new(),
+            peer_evidence: PeerEvidence::default(),
             waits: HashMap::new(),
         }
     }
@@ -143,6 +161,13 @@
         self
     }
 
+    /// Sets the number by which peers tell the counts of this process from those of an earlier one on this host.
+    #[must_use]
+    pub fn with_process(mut self, process: u64) -> Self {
+        self.process = process;
+        self
+    }
+
     /// Returns the order.
     pub fn order(&self) -> &Order {
         &self.order
@@ -178,7 +203,8 @@
 
     /// Makes the trial wait for its peers, because the process was paused: they may have ended it, and requests that
     /// were open seem slow.
-    pub fn lose_contact(&mut self) {
+    pub fn lose_contact(&mut self, now: Instant) {
+        self.lost_contact_at = Some(now);
         self.contact.lose();
         self.is_current = false;
         self.is_suspended = true;
@@ -204,9 +230,11 @@
             State::InProgress if !self.is_suspended => {}
             State::InProgress | State::Completed | State::RolledBack => return self.stable_versions(),
         }
-        let elapsed_share = self.age(now).as_secs_f64() / self.order.duration.as_secs_f64().max(1.0);
-        let slack = exposure.slack / hosts.max(1) as f64 * elapsed_share.min(1.0);
-        let max_exposed = USABLE_SHARE * exposure.share.mul_add(self.requests as f64, slack);
+        let elapsed = self.age(now).as_secs_f64() / self.order.duration.as_secs_f64().max(1.0);
+        let elapsed = elapsed.min(1.0);
+        let slack = exposure.slack / hosts.max(1) as f64 * elapsed;
+        let usable = (MAX_USABLE_SHARE - MIN_USABLE_SHARE).mul_add(elapsed, MIN_USABLE_SHARE);
+        let max_exposed = usable * exposure.share.mul_add(self.requests as f64, slack);
         if self.exposed as f64 + 1.0 > max_exposed + self.rounding {
             return self.stable_versions();
         }
@@ -328,7 +356,7 @@
 
     /// Returns the evidence of all hosts.
     fn evidence(&self) -> impl Iterator<Item = &Evidence> {
-        self.peer_evidence.values().chain([&self.own_evidence])
+        self.peer_evidence.iter().chain([&self.own_evidence])
     }
 
     /// Returns the time since the first host received the order.
@@ -343,6 +371,7 @@
             state: self.state(),
             age_ms: millis(self.age(now)),
             is_current: self.is_current,
+            process: self.process,
             evidence: self.own_evidence.clone(),
         }
     }
@@ -364,34 +393,26 @@
         if (is_recent && observation.is_current) || observation.state == State::RolledBack {
             self.verdict = self.verdict.max(observation.state);
         }
-        if self.peer_evidence.len() < MAX_PEERS || self.peer_evidence.contains_key(peer) {
-            self.peer_evidence.insert(peer.to_owned(), observation.evidence);
-        }
-    }
-
-    /// Returns the counts of one kind from all hosts by route.
-    fn counts(&self, kind: Latency) -> BTreeMap<&str, Counts> {
-        let mut sums = BTreeMap::<&str, Counts>::new();
-        for (route, counts) in self.evidence().flat_map(|evidence| evidence.routes(kind)) {
-            sums.entry(route).or_default().add(*counts);
+        self.peer_evidence.put(peer, observation.process, observation.evidence);
+    }
+
+    /// Returns the outcomes of all hosts, by kind and route and for each kind.
+    fn totals(&self) -> Totals {
+        let mut totals = Totals::new();
+        for kind in Latency::ALL {
+            for (route, counts) in self.evidence().flat_map(|evidence| evidence.routes(kind)) {
+                for group in [(kind, Some(route.clone())), (kind, None)] {
+                    let total = totals.entry(group).or_default();
+                    *total = total.plus(counts.rates());
+                }
+            }
         }
-        sums
-    }
-
-    /// Returns the counts of all hosts, kinds and routes.
-    pub fn total(&self) -> Counts {
-        let counts = Latency::ALL
-            .into_iter()
-            .flat_map(|kind| self.counts(kind).into_values());
-        Counts::sum(counts)
+        totals
     }
 
-    /// Returns whether the new version is worse, on a route or the whole service.
-    fn is_bad(&self) -> bool {
-        Latency::ALL.into_iter().any(|kind| {
-            let counts = self.counts(kind);
-            counts.values().any(Counts::is_bad) || Counts::sum(counts.into_values()).is_bad()
-        })
+    /// Returns the outcomes of all hosts, kinds and routes.
+    pub fn total(&self) -> Pair {
+        sum(&self.totals())
     }
 
     /// Decides on the trial and returns the state. A bad version is rolled back at once, a good one replaces the old
@@ -403,22 +424,30 @@
             return self.order.state;
         }
         self.count_slow_waits(now);
-        let is_bad = self.is_bad();
+        let totals = self.totals();
+        let is_bad = self.history.is_bad(&totals, ROLLBACK_FALSE_ALARMS);
+        self.history.record(self.age(now), &totals);
         self.is_current = self.contact.is_current(now, live_hosts);
         if self.is_current {
-            self.verdict = self.verdict.max(self.judge(now, is_bad));
+            self.verdict = self.verdict.max(self.judge(now, is_bad, &totals));
         }
         let has_begun = now.since(self.received_at) >= self.contact.heard_time();
+        if !self.is_current && has_begun {
+            self.lost_contact_at = Some(now);
+        }
         self.is_suspended = is_bad || (!self.is_current && (self.is_suspended || has_begun));
         self.state()
     }
 
-    fn judge(&self, now: Instant, is_bad: bool) -> State {
-        let is_due = self.time_to_verdict(now).is_zero();
+    fn judge(&self, now: Instant, is_bad: bool, totals: &Totals) -> State {
+        let min_contact = self.order.duration.mul_f64(MIN_CONTACT_FRACTION);
+        let has_contact = self.lost_contact_at.is_none_or(|at| now.since(at) >= min_contact);
+        let is_due = self.time_to_verdict(now).is_zero() && has_contact;
         match (is_bad, is_due) {
             (true, _) => State::RolledBack,
             (false, false) => State::InProgress,
-            (false, true) if self.total().new < MIN_OUTCOMES => State::RolledBack,
+            (false, true) if sum(totals).new.of < MIN_OUTCOMES => State::RolledBack,
+            (false, true) if self.history.is_bad(totals, COMPLETION_FALSE_ALARMS) => State::RolledBack,
             (false, true) => State::Completed,
         }
     }
@@ -429,6 +458,12 @@
     }
 }
 
+/// Returns the sum over all kinds, each of which counts all routes together.
+fn sum(totals: &Totals) -> Pair {
+    let kinds = totals.iter().filter(|((_, route), _)| route.is_none());
+    kinds.map(|(_, total)| *total).fold(Pair::default(), Pair::plus)
+}
+
 fn is_current_by_default() -> bool {
     true
 }
--- a/crates/gateway/src/trial_evidence.rs
+++ b/crates/gateway/src/trial_evidence.rs
@@ -2,17 +2,13 @@
 
 use std::collections::BTreeMap;
 
-use hawthornpost_core::rollout::{self, Rate};
+use hawthornpost_core::rollout::{Pair, Rate};
 use serde::{Deserialize, Serialize};
 
 use crate::baseline::Baseline;
 
-/// The share of bad outcomes below which a version is never rolled back. Servers also fail for reasons that do not
-/// depend on the version.
-const MIN_BAD_SHARE: f64 = 0.08;
-
 /// The kinds of latency that have a baseline.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Latency {
     /// The time to the response, or to the first event of a stream.
     Response,
@@ -59,6 +55,12 @@
 }
 
 impl Evidence {
+    /// Returns the number of outcomes, which grows with time.
+    pub(crate) fn outcomes(&self) -> u64 {
+        let counts = Latency::ALL.into_iter().flat_map(|kind| self.routes(kind).values());
+        counts.map(|counts| counts.old + counts.new).sum()
+    }
+
     pub(crate) fn routes(&self, kind: Latency) -> &RouteCounts {
         match kind {
             Latency::Response => &self.responses,
@@ -75,30 +77,12 @@
 }
 
 impl Counts {
-    pub(crate) fn add(&mut self, other: Self) {
-        self.old += other.old;
-        self.old_bad += other.old_bad;
-        self.new += other.new;
-        self.new_bad += other.new_bad;
-        self.baseline.add(other.baseline);
-    }
-
-    pub(crate) fn sum(counts: impl Iterator<Item = Self>) -> Self {
-        counts.fold(Self::default(), |mut sum, counts| {
-            sum.add(counts);
-            sum
-        })
-    }
-
-    pub(crate) fn is_bad(&self) -> bool {
-        let new = Rate {
-            bad: self.new_bad,
-            of: self.new,
-        };
-        let old = Rate {
-            bad: self.old_bad,
-            of: self.old,
-        };
-        rollout::is_worse(new, old, MIN_BAD_SHARE)
+    /// Returns the outcomes of both versions.
+    pub(crate) fn rates(&self) -> Pair {
+        let rate = |bad, of| Rate { bad, of };
+        Pair {
+            new: rate(self.new_bad, self.new),
+            old: rate(self.old_bad, self.old),
+        }
     }
 }
--- a/crates/gateway/tests/model/mod.rs
+++ b/crates/gateway/tests/model/mod.rs
@@ -200,7 +200,10 @@
                 }
             } else if self.random.random_bool(0.002) {
                 self.pause(index);
-            } else if self.random.random_bool(0.003) {
+            } else if self
+                .random
+                .random_bool(if self.hosts[index].is_cut_off { 0.012 } else { 0.0015 })
+            {
                 self.hosts[index].is_cut_off ^= true;
                 self.hosts[index].contact_since = self.now;
             } else if self.random.random_bool(0.001) {
--- a/crates/gateway/tests/model_rollouts.rs
+++ b/crates/gateway/tests/model_rollouts.rs
@@ -28,8 +28,11 @@
     }
 }
 
-/// A version that fails is never completed, although hosts are paused, cut off and restarted during its trial.
+/// A version that fails is never completed, although hosts are paused, cut off and restarted during its trial. It may turn
+/// bad up to a quarter of the order before its deadline.
 #[test_case(Duration::ZERO; "bad from the start")]
+#[test_case(Duration::from_secs(6); "bad from the middle")]
+#[test_case(Duration::from_secs(9); "bad in the last quarter")]
 fn bad_version_is_never_completed(bad_after: Duration) {
     for seed in 0..150 {
         let mut world = World::new(seed, 6, Faults::HOSTS);
@@ -54,3 +57,27 @@
         }
     }
 }
+
+/// A single pause of a host, at any moment of the trial and of any length, neither keeps a good version from completion
+/// nor a bad one from being rolled back.
+#[test]
+fn pause_at_any_moment_changes_no_verdict() {
+    for start in (0..13).map(Duration::from_secs) {
+        for length in [2, 4, 8].map(Duration::from_secs) {
+            for (quality, expected) in [
+                (Quality::Good, State::Completed),
+                (Quality::BadAfter(Duration::from_secs(7)), State::RolledBack),
+            ] {
+                let mut world = World::new(start.as_secs(), 6, Faults::NONE);
+                world.order("v2", quality);
+                world.run(start);
+                world.pause(1);
+                world.run(length);
+                world.wake(1);
+                world.run(SETTLING_TIME);
+                assert_eq!(world.state(), expected, "paused at {start:?} for {length:?}");
+                world.check_agreement();
+            }
+        }
+    }
+}
--- a/crates/gateway/tests/trial.rs
+++ b/crates/gateway/tests/trial.rs
@@ -118,6 +118,8 @@
 #[test_case(Quality { failures: 0.5, ..GOOD }; "half of the requests fail")]
 #[test_case(Quality { latency_factor: 6.0, ..GOOD }; "six times slower")]
 #[test_case(Quality { failures: 0.6, from_s: 5, ..GOOD }; "fails later")]
+#[test_case(Quality { failures: 0.6, from_s: 9, ..GOOD }; "fails in the last quarter")]
+#[test_case(Quality { latency_factor: 6.0, from_s: 9, ..GOOD }; "six times slower in the last quarter")]
 fn bad_version_is_rolled_back_within_its_exposure(new: Quality) {
     for seed in 0..300 {
         let (state, at_ms, requests, exposed) = run_trial(seed, new, GOOD);
@@ -207,7 +209,7 @@
     assert_eq!(first.state(), State::RolledBack);
 
     let woken = Instant::from_millis(12_000);
-    paused.lose_contact();
+    paused.lose_contact(woken);
     assert_eq!(paused.decide(woken, 3), State::InProgress);
     assert_eq!(
         paused.versions(woken, EXPOSURE, 3),
