Accept only events of the stream from an engine that goes on with it

The gateway forwarded it as an event without an id, and the stream ended as if it were complete. After a 4xx it broke off although other engines could go on.

Cause: events without ids that arrive before the first numbered one were held and passed on at the end of the response, also when the caller had a part of the stream already; the end of a response with such an event counted as the end of the stream; a response other than a stream was taken for the answer after the stream had begun.

Ruled out: a second head on the caller's connection (a response after the head is dropped), a cut event (it is never forwarded).

Change: after a part of a stream has been forwarded, any other response is a failure of its engine, so is an event that is neither numbered nor made of fields or comments, and a response that ends without a numbered event is incomplete. Before it, responses of another content type are passed on whole.

--- a/crates/gateway/src/event_quota.rs
+++ b/crates/gateway/src/event_quota.rs
@@ -25,6 +25,8 @@
 pub(crate) struct Quota {
     tokens: u64,
     events: u64,
+    /// Whether the attempt goes on with a stream of which the caller has a part.
+    is_resumed: bool,
     /// The id that the first numbered event follows; `None` until it is known.
     base: Option<u64>,
     /// The events before the first numbered one, which are not forwarded unless it arrives or the stream completes.
@@ -50,6 +52,7 @@
         Self {
             tokens: max_tokens(metadata),
             events: 0,
+            is_resumed: last_event.is_some(),
             base: last_event,
             held: Vec::new(),
             held_bytes: 0,
@@ -79,7 +82,7 @@
     ///
     /// # Errors
     ///
-    /// Fails when the stream has more events than the request allows.
+    /// Fails when the stream has more events than the request allows, or has begun and contains other bytes than events.
     pub(crate) fn admit_all(&mut self, events: impl Iterator<Item = Event>) -> Result<Vec<Event>, Excess> {
         let mut admitted = Vec::new();
         for event in events {
@@ -108,9 +111,17 @@
     }
 
     fn admit_unnumbered(&mut self, event: Event) -> Result<Vec<Event>, Excess> {
+        let has_begun = self.is_resumed || self.has_numbered_event;
+        if has_begun && !event.is_well_formed() {
+            return Err(Excess::Foreign);
+        }
         if self.has_numbered_event {
             return Ok(vec![event]);
         }
+        if self.is_resumed {
+            // Without a numbered event, it is not known to belong to the stream.
+            return Ok(Vec::new());
+        }
         self.held_bytes += event.bytes.len();
         if self.held_bytes > MAX_HELD_BYTES {
             return Err(Excess::Events);
--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -11,6 +11,17 @@
     pub bytes: Bytes,
 }
 
+impl Event {
+    /// Returns whether all lines are comments or fields of an event.
+    pub fn is_well_formed(&self) -> bool {
+        let lines = self.bytes.split(|byte| *byte == b'\n').map(<[u8]>::trim_ascii_end);
+        lines.filter(|line| !line.is_empty()).all(|line| {
+            let name = line.split(|byte| *byte == b':').next().unwrap_or_default();
+            matches!(name, b"" | b"data" | b"event" | b"id" | b"retry")
+        })
+    }
+}
+
 /// Splits a body into complete events; an incomplete event at the end is never returned.
 ///
 /// ```
--- a/crates/gateway/src/headers.rs
+++ b/crates/gateway/src/headers.rs
@@ -2,7 +2,7 @@
 
 use hyper::HeaderMap;
 use hyper::header::{
-    CONNECTION, CONTENT_LENGTH, EXPECT, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
+    CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, EXPECT, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
     TRANSFER_ENCODING, UPGRADE,
 };
 
@@ -38,3 +38,10 @@
         headers.remove(name);
     }
 }
+
+/// Returns whether the body of a response may be an event stream. Without a content type it may.
+pub(crate) fn may_be_event_stream(headers: &HeaderMap) -> bool {
+    let content_type = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    let media_type = content_type.and_then(|value| value.split(';').next());
+    media_type.is_none_or(|media_type| media_type.trim().eq_ignore_ascii_case("text/event-stream"))
+}
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -57,6 +57,9 @@
     /// The stream has more events than the request allows tokens, or ids beyond them.
     #[error("the events exceed the maximum number of output tokens")]
     Events,
+    /// A stream holds bytes that are no event, such as the text of an error.
+    #[error("the stream contains bytes that are no event")]
+    Foreign,
     /// The responses that the process buffers are too large together.
     #[error("the buffered responses exceed their limit of bytes")]
     Memory,
--- a/crates/gateway/src/stream_attempt.rs
+++ b/crates/gateway/src/stream_attempt.rs
@@ -138,7 +138,7 @@
                 );
             }
         }
-        if !head.status.is_success() {
+        if !head.status.is_success() || !headers::may_be_event_stream(&head.headers) {
             return self.handle_other(stream, &connection, head, body).await;
         }
         self.forward(stream, &mut reservation, head.headers, body, sent, backup)
@@ -301,7 +301,9 @@
         body: Incoming,
     ) -> Outcome {
         let sent = stream.gateway.now();
-        if head.status.is_server_error() || implies_not_run(head.status) {
+        // Once the caller has a part of the stream, any other response is a failure of this engine.
+        let is_failure = head.status.is_server_error() || implies_not_run(head.status);
+        if is_failure || stream.output.has_begun() {
             let reason = format!("the engine responded with status {}", head.status.as_u16());
             return broken(stream, reason, sent);
         }
