Limit the time in which a vanished entry counts as lapsed

Cause: one note said that entries may have lapsed. Only a change of the targets' revision took it back. Where nothing changed it stayed, so that a removal much later counted as a lapse; where two lists of one revision followed each other, the first took it back and the second removed what the first had kept.

Change: the note is a state with a time: an outage, and two seconds from the moment at which this host or a watcher hears of the store again, whether anything has changed or not. A target that is kept as lapsed is not removed before its time.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -162,6 +162,12 @@
         }
     }
 
+    /// Returns whether a target is kept although its store entry lapsed.
+    pub fn is_lapsed(&self, id: &str) -> bool {
+        let member = self.members.get(id);
+        member.is_some_and(|member| member.lapsed_until.is_some())
+    }
+
     /// Returns whether any target is kept although its store entry lapsed.
     pub fn has_lapsed(&self) -> bool {
         self.members.values().any(|member| member.lapsed_until.is_some())
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -77,6 +77,7 @@
 mod ingress;
 pub mod intake;
 mod job;
+pub mod lapses;
 mod list_delta;
 mod listener;
 pub mod load;
--- a/crates/gateway/src/registry.rs
+++ b/crates/gateway/src/registry.rs
@@ -9,6 +9,7 @@
 
 use crate::event::Event;
 use crate::gateway::Gateway;
+use crate::lapses::Lapses;
 use crate::platform::{Change, Kind, Object};
 use crate::target::Target;
 use crate::unusable;
@@ -22,9 +23,7 @@
 /// Applies changes, and keeps targets for some time that the store does not list because of an outage.
 pub(crate) struct Registry {
     gateway: Rc<Gateway>,
-    /// Whether the next changes of targets are the first ones after a store outage. Entries that vanish in them may
-    /// have lapsed; entries that vanish later belong to targets that have left or failed.
-    may_have_lapsed: Cell<bool>,
+    lapses: Cell<Lapses>,
     /// When the store became available after an outage in which entries may have lapsed.
     available_since: Cell<Option<Instant>>,
     unusable: unusable::Log,
@@ -34,7 +33,7 @@
     pub(crate) fn new(gateway: &Rc<Gateway>) -> Self {
         Self {
             gateway: Rc::clone(gateway),
-            may_have_lapsed: Cell::default(),
+            lapses: Cell::default(),
             available_since: Cell::default(),
             unusable: unusable::Log::default(),
         }
@@ -42,7 +41,16 @@
 
     /// Records that entries may lapse because the store is unavailable.
     pub(crate) fn expect_lapses(&self) {
-        self.may_have_lapsed.set(true);
+        let mut lapses = self.lapses.get();
+        lapses.begin();
+        self.lapses.set(lapses);
+    }
+
+    /// Records that the store responds to this host or to a watcher.
+    pub(crate) fn end_lapses(&self) {
+        let mut lapses = self.lapses.get();
+        lapses.end(self.gateway.now());
+        self.lapses.set(lapses);
     }
 
     /// Records that the store is available after an outage in which entries may have lapsed.
@@ -54,7 +62,6 @@
     pub(crate) fn set_revision(&self, kind: Kind, revision: u64) {
         if kind == Kind::Targets {
             self.gateway.set_fleet_revision(revision);
-            self.may_have_lapsed.set(false);
             self.remove_overdue();
         }
     }
@@ -111,7 +118,10 @@
         let Some(target) = self.gateway.fleet().borrow().get(id).map(Rc::clone) else {
             return;
         };
-        if self.may_have_lapsed.get() && !target.is_leaving {
+        if self.gateway.fleet().borrow().is_lapsed(id) {
+            return;
+        }
+        if self.lapses.get().are_possible(self.gateway.now()) && !target.is_leaving {
             let until = self.gateway.now() + LAPSED_GRACE_PERIOD;
             self.gateway.fleet().borrow_mut().keep_lapsed(id, until);
             return;
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -280,6 +280,7 @@
 
     fn record_available(&self) {
         self.gateway.set_store_unreachable(false);
+        self.registry.end_lapses();
         let Some(since) = self.unavailable_since.take() else {
             return;
         };
--- a/crates/gateway/src/sync/updates.rs
+++ b/crates/gateway/src/sync/updates.rs
@@ -109,6 +109,7 @@
     }
 
     pub(super) fn apply_targets_update(&self, since: u64, revision: u64, changes: Vec<feed::Change>) {
+        self.registry.end_lapses();
         match Step::of(self.gateway.fleet_revision(), since, revision) {
             Step::Apply => {
                 for change in changes {
@@ -126,6 +127,7 @@
     }
 
     pub(super) fn apply_target_list(&self, revision: u64, targets: Vec<Target>) {
+        self.registry.end_lapses();
         if revision > self.gateway.fleet_revision() {
             let objects = targets.into_iter().map(Object::Target).collect();
             self.registry.apply_listing(Kind::Targets, objects, revision);
