Detect that the machine was suspended as a pause

By reading: the steady clock stops while a machine is suspended, so that a host took state from before for fresh: it could judge a rollout or use a version that its peers had rolled back. DEPLOY.md says that CLOCK_BOOTTIME counts that time.

Change: the timer also compares the time since boot with the steady clock when a caller asks for the last pause, which those that judge and serve do. tests/pause.rs fails without it (suspended_machine_is_detected).

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -57,6 +57,7 @@
 pub mod members;
 pub mod metric;
 pub mod orders;
+pub mod pause;
 pub mod peer;
 pub mod platform;
 pub mod plugin;
--- a/crates/daemon/src/timer.rs
+++ b/crates/daemon/src/timer.rs
@@ -6,11 +6,12 @@
 
 use hawthornpost_core::clock;
 use hawthornpost_core::timer::Service;
+use nix::time::{ClockId, clock_gettime};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// A loop iteration that is this late means that the process was paused.
-const MIN_PAUSE: Duration = Duration::from_millis(1500);
+use crate::pause::Detector;
+
 /// The longest sleep of the loop, so that a pause is detected even when no deadline is near.
 const MAX_SLEEP: Duration = Duration::from_millis(500);
 
@@ -22,7 +23,7 @@
     /// Wakes the loop for a deadline that is earlier than the one it sleeps for.
     earlier_deadline: Notify,
     next_wake: Cell<clock::Instant>,
-    last_tick: Cell<clock::Instant>,
+    pauses: Cell<Detector>,
     last_pause_end: Cell<Option<clock::Instant>>,
 }
 
@@ -34,7 +35,7 @@
             service: RefCell::default(),
             earlier_deadline: Notify::new(),
             next_wake: Cell::default(),
-            last_tick: Cell::default(),
+            pauses: Cell::default(),
             last_pause_end: Cell::default(),
         }
     }
@@ -48,7 +49,10 @@
     ///
     /// Leases and other state with a lifetime from before that time must be treated as expired.
     pub fn last_pause(&self) -> Option<clock::Instant> {
-        self.detect_pause();
+        let now = self.now();
+        let mut pauses = self.pauses.get();
+        let is_paused = pauses.read_both(now.since_start(), time_since_boot());
+        self.record_reading(now, pauses, is_paused);
         self.last_pause_end.get()
     }
 
@@ -80,7 +84,9 @@
     pub async fn run(&self) {
         loop {
             let now = self.now();
-            self.detect_pause();
+            let mut pauses = self.pauses.get();
+            let is_paused = pauses.read(now.since_start());
+            self.record_reading(now, pauses, is_paused);
             let due = self.service.borrow_mut().due(now);
             for notify in due {
                 notify.notify_one();
@@ -89,12 +95,11 @@
         }
     }
 
-    fn detect_pause(&self) {
-        let now = self.now();
-        if now.since(self.last_tick.get()) > MIN_PAUSE + MAX_SLEEP {
+    fn record_reading(&self, now: clock::Instant, pauses: Detector, is_paused: bool) {
+        self.pauses.set(pauses);
+        if is_paused {
             self.last_pause_end.set(Some(now));
         }
-        self.last_tick.set(now);
     }
 
     async fn wait(&self, now: clock::Instant) {
@@ -108,6 +113,12 @@
     }
 }
 
+/// Returns the time since the machine started, including the time for which it was suspended.
+fn time_since_boot() -> Option<Duration> {
+    let time = clock_gettime(ClockId::CLOCK_BOOTTIME).ok()?;
+    Some(Duration::from(time))
+}
+
 impl Default for Timer {
     fn default() -> Self {
         Self::new()
