--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -21,6 +21,7 @@
 //! | [`members`] | cluster membership of entry hosts |
 //! | [`metric`] | metrics and their endpoint |
 //! | [`orders`] | orders to engines |
+//! | [`pause`] | detection of pauses of the process |
 //! | [`peer`] | RPC between entry hosts |
 //! | [`platform`] | client of the platform API |
 //! | [`plugin`] | plug-in registry |
--- a/crates/gateway/src/trial.rs
+++ b/crates/gateway/src/trial.rs
@@ -9,7 +9,6 @@
 
 use hawthornpost_core::clock::Instant;
 use hawthornpost_core::rollout::Pair;
-use serde::{Deserialize, Serialize};
 
 use crate::baseline::Baseline;
 use crate::duration::millis;
@@ -17,6 +16,9 @@
 use crate::trial_contact::Contact;
 pub use crate::trial_evidence::{Counts, Evidence, Latency, RouteCounts};
 use crate::trial_history::{COMPLETION_FALSE_ALARMS, History, ROLLBACK_FALSE_ALARMS, Totals};
+pub use crate::trial_observation::Observation;
+use crate::trial_open::Wait;
+pub use crate::trial_outcome::{Outcome, SAMPLED_INTERVALS};
 use crate::trial_peers::PeerEvidence;
 use crate::versions::Versions;
 
@@ -39,8 +41,6 @@
 const ROTATION_INTERVAL: Duration = Duration::from_secs(3);
 /// A response that takes this multiple of the baseline is slow.
 const SLOW_FACTOR: f64 = 2.0;
-/// The number of intervals between events at the start of a stream that are one outcome.
-pub const SAMPLED_INTERVALS: u32 = 32;
 
 /// The maximum traffic for a version that may be bad.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -51,48 +51,6 @@
     pub slack: f64,
 }
 
-/// The state and the counts of a trial at one host, for its peers.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Observation {
-    /// The order.
-    pub order: Order,
-    /// The state of the order at that host, which is the verdict once there is one.
-    pub state: State,
-    /// The time since the first host received the order, in milliseconds.
-    pub age_ms: u64,
-    /// Whether the sender hears of enough hosts. Otherwise its state and its time may be those of before a pause.
-    #[serde(default = "is_current_by_default")]
-    pub is_current: bool,
-    /// Identifies the process, whose counts begin at zero.
-    #[serde(default)]
-    pub process: u64,
-    /// The counts.
-    #[serde(flatten)]
-    pub evidence: Evidence,
-}
-
-/// The outcome of a request.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Outcome {
-    /// The target responded after this time. For a stream, it is the time to the first event.
-    Responded(Duration),
-    /// The first events of a stream, or all events of a short one, came with this mean interval.
-    Streamed(Duration),
-    /// It failed.
-    Failed,
-}
-
-/// A request whose latency is not known yet.
-#[derive(Debug)]
-struct Wait {
-    route: String,
-    is_new: bool,
-    latency: Latency,
-    since: Instant,
-    /// Whether it is counted already, as a slow request.
-    is_counted: bool,
-}
-
 /// The trial of one version.
 #[derive(Debug)]
 pub struct Trial {
@@ -463,37 +421,3 @@
     let kinds = totals.iter().filter(|((_, route), _)| route.is_none());
     kinds.map(|(_, total)| *total).fold(Pair::default(), Pair::plus)
 }
-
-fn is_current_by_default() -> bool {
-    true
-}
-
-impl Outcome {
-    /// Returns the time that the request has taken at least, unless it failed.
-    pub(crate) fn duration(self) -> Option<Duration> {
-        match self {
-            Self::Responded(took) => Some(took),
-            Self::Streamed(interval) => Some(interval * SAMPLED_INTERVALS),
-            Self::Failed => None,
-        }
-    }
-
-    fn latency(self) -> Option<(Latency, Duration)> {
-        match self {
-            Self::Responded(took) => Some((Latency::Response, took)),
-            Self::Streamed(interval) => Some((Latency::EventInterval, interval)),
-            Self::Failed => None,
-        }
-    }
-}
-
-impl Wait {
-    /// Returns the latency that the request has at least.
-    fn min_latency(&self, now: Instant) -> Duration {
-        let waited = now.since(self.since);
-        match self.latency {
-            Latency::Response => waited,
-            Latency::EventInterval => waited / SAMPLED_INTERVALS,
-        }
-    }
-}
