--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -80,6 +80,25 @@
     pub name: String,
     /// The properties of its model engines; `None` for a plain service.
     pub engine: Option<Engine>,
+    /// The maximum number of connections that a target accepts from all hosts together; `None` if it is not known.
+    #[serde(default)]
+    pub max_connections: Option<u32>,
+    /// The bounds on the number of its targets; `None` if the gateway does not order targets for it.
+    #[serde(default)]
+    pub scaling: Option<Scaling>,
+}
+
+/// The bounds on the number of targets of a service in one data centre.
+#[serde_as]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Scaling {
+    /// The minimum.
+    pub min: u32,
+    /// The maximum.
+    pub max: u32,
+    /// The time from an order to the first request that a new target serves.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub startup: Duration,
 }
 
 /// Properties of the model engines of a service.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 //! | [`departures`] | targets that announced that they are leaving |
 //! | [`dialect`] | request and response headers of the platform |
 //! | [`dissemination`] | relays in other data centres |
+//! | [`duty`] | duties that one host at a time holds |
 //! | [`event`] | numbered log events |
 //! | [`event_stream`] | parser of `text/event-stream` bodies |
 //! | [`feed`] | choice of the hosts that watch the store, and their updates to peers |
@@ -37,6 +38,7 @@
 //! | [`rollouts`] | rollout orders known to a host, with their trials |
 //! | [`route`] | routing table: route and account of a request |
 //! | [`run`] | startup, signals, shutdown |
+//! | [`scaling`] | the number of targets of a service |
 //! | [`send_rate`] | limit of the rate at which state is sent to peers |
 //! | [`settings`] | settings file |
 //! | [`silence`] | measurement of an engine's silence |
@@ -44,6 +46,7 @@
 //! | [`stream_output`] | output of a stream to its caller |
 //! | [`target`] | targets as the platform lists them |
 //! | [`trial`] | the trial of a new version and its verdict |
+//! | [`usage`] | usage of client accounts |
 //! | [`versions`] | versions that may serve a request |
 
 pub mod availability;
@@ -63,6 +66,7 @@
 mod directory;
 pub mod dissemination;
 mod duration;
+pub mod duty;
 mod error;
 pub mod event;
 mod event_quota;
@@ -107,6 +111,7 @@
 mod rollouts_runner;
 pub mod route;
 pub mod run;
+pub mod scaling;
 mod screening;
 pub mod send_rate;
 pub mod settings;
@@ -132,6 +137,7 @@
 mod trial_peers;
 mod trial_wait;
 mod unusable;
+pub mod usage;
 pub mod versions;
 
 pub use error::{Error, Result};
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -3,8 +3,11 @@
 use std::time::Duration;
 
 use crate::config::Config;
+use crate::duty::Fence;
 use crate::rollout::{Order, State};
+use crate::scaling;
 use crate::target::Target;
+use crate::usage::Report;
 
 /// The kinds of objects that the gateway reads.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -87,7 +90,44 @@
     Conflict,
 }
 
-/// Client of the metadata store.
+/// An object that the gateway keeps in the store for itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Record {
+    /// The lease of the duties.
+    Lease,
+    /// The usage counts of the windows that are not reported yet.
+    Usage,
+}
+
+impl Record {
+    /// Returns the name in the store, logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Lease => "lease",
+            Self::Usage => "usage",
+        }
+    }
+}
+
+/// The contents of a [`Record`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Stored {
+    /// The revision of the store at which it was written last.
+    pub revision: u64,
+    /// The contents as JSON.
+    pub contents: String,
+}
+
+/// How old the result of a read may be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Consistency {
+    /// The latest state.
+    Latest,
+    /// A state that may be seconds old, at a fraction of the cost.
+    Stale,
+}
+
+/// Client of the platform: its metadata store and its calls for duties.
 pub trait Platform: 'static {
     /// Lists all objects of a kind.
     fn list(&self, kind: Kind) -> impl Future<Output = Result<Listing, Failure>>;
@@ -97,4 +137,16 @@
 
     /// Writes the state of an order if the order has not changed since it was read.
     fn write_state(&self, order: &Order, state: State) -> impl Future<Output = Result<(), Failure>>;
+
+    /// Reads a record; `None` if it does not exist.
+    fn read(&self, record: Record, consistency: Consistency) -> impl Future<Output = Result<Option<Stored>, Failure>>;
+
+    /// Writes a record on condition that it has the revision `base`, or creates it. Returns the new revision.
+    fn write(&self, record: Record, base: Option<u64>, contents: &str) -> impl Future<Output = Result<u64, Failure>>;
+
+    /// Reports the usage of a window as the holder of the duty.
+    fn report_usage(&self, fence: &Fence, report: &Report) -> impl Future<Output = Result<(), Failure>>;
+
+    /// Orders the number of targets of a service in a data centre as the holder of the duty.
+    fn order_targets(&self, fence: &Fence, order: &scaling::Order) -> impl Future<Output = Result<(), Failure>>;
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -9,6 +9,7 @@
 
 use crate::dialect::Dialect;
 use crate::duration::millis;
+use crate::duty::{self, Duty};
 use crate::error::{Kind, Result};
 use crate::event::{self, Event};
 use crate::gateway::{Gateway, Phase};
@@ -18,8 +19,10 @@
 use crate::peers_runner;
 use crate::platform::Platform;
 use crate::rollouts_runner;
+use crate::scaling;
 use crate::settings::Settings;
 use crate::sync::Synchronizer;
+use crate::usage;
 
 /// The interval at which buffered log lines are written.
 const LOG_FLUSH_INTERVAL: Duration = Duration::from_millis(100);
@@ -67,6 +70,7 @@
     let platform = Rc::new(platform);
     Synchronizer::start(&gateway, &platform);
     rollouts_runner::start(&gateway, &platform);
+    start_duties(&gateway, &platform);
     start_listeners(&gateway).await?;
     let upkeep = Rc::clone(&gateway);
     tokio::task::spawn_local(async move { run_upkeep(&upkeep, &buffer).await });
@@ -86,6 +90,20 @@
     Ok(())
 }
 
+/// Starts the tasks of the duties that the settings ask for.
+fn start_duties<P: Platform>(gateway: &Rc<Gateway>, platform: &Rc<P>) {
+    let Some(settings) = &gateway.settings().duties else {
+        return;
+    };
+    duty::runner::start(gateway, platform);
+    for kind in &settings.kinds {
+        match kind {
+            Duty::Usage => usage::runner::start(gateway, platform),
+            Duty::Scaling => scaling::runner::start(gateway, platform),
+        }
+    }
+}
+
 /// Applies the limits of the settings file; an invalid file changes nothing.
 fn reload(gateway: &Gateway, file: &Path) {
     let what = "SIGHUP requested a reload; limits apply at once, other settings need a restart";
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of the gateway, read from an INI file.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
@@ -8,6 +9,7 @@
 use hawthornpost_core::settings::{File, Section};
 
 use crate::budget::Allowance;
+use crate::duty::Duty;
 use crate::error::{Kind, Result};
 use crate::intake;
 use crate::trial::Exposure;
@@ -36,6 +38,8 @@
     pub limits: LimitSettings,
     /// Section `[rollouts]`.
     pub rollouts: Exposure,
+    /// Section `[duties]`; `None` if this deployment has no duties.
+    pub duties: Option<DutySettings>,
     /// Section `[log]`.
     pub log: LogSettings,
 }
@@ -97,6 +101,23 @@
     pub response_bytes: usize,
 }
 
+/// Section `[duties]`: calls to the platform that one host at a time makes for all.
+#[derive(Clone, Debug)]
+pub struct DutySettings {
+    /// The address that takes the calls.
+    pub address: SocketAddr,
+    /// The duties.
+    pub kinds: BTreeSet<Duty>,
+    /// The maximum rate of calls of all hosts together, per second.
+    pub calls_per_second: f64,
+    /// The duration of the lease after each renewal.
+    pub lease: Duration,
+    /// The length of a window of the usage reports.
+    pub window: Duration,
+    /// The time after the end of a window within which its report is due.
+    pub report_timeout: Duration,
+}
+
 /// Section `[log]`.
 #[derive(Clone, Copy, Debug)]
 pub struct LogSettings {
@@ -132,9 +153,12 @@
             platform: platform(file.section("platform")?)?,
             limits: limits(file.section("limits")?)?,
             rollouts: file.section("rollouts").map_or(Ok(DEFAULT_EXPOSURE), rollouts)?,
+            duties: file.section("duties").ok().map(duties).transpose()?,
             log: log_settings(file.section("log")?)?,
         };
-        let known = ["entry", "listen", "peers", "platform", "limits", "rollouts", "log"];
+        let known = [
+            "entry", "listen", "peers", "platform", "limits", "rollouts", "duties", "log",
+        ];
         for section in file.sections() {
             if !known.contains(&section.name()) {
                 let remedy = format!("use one of {}", known.join(", "));
@@ -180,6 +204,15 @@
 /// The time within which changes of the configuration and of targets are in force, if the settings do not tell.
 const DEFAULT_CHANGE_TIMEOUT_MS: u64 = 2000;
 
+/// The defaults of the section `[duties]`.
+const DEFAULT_DUTY_CALLS_PER_SECOND: f64 = 10.0;
+const DEFAULT_LEASE_MS: u64 = 3000;
+const DEFAULT_REPORT_TIMEOUT_S: f64 = 10.0;
+/// The shortest lease that can be renewed several times within its term.
+const MIN_LEASE: Duration = Duration::from_millis(500);
+/// The shortest window of the usage reports, below which a call per window would be a burden.
+const MIN_REPORT_WINDOW: Duration = Duration::from_secs(1);
+
 fn platform(mut section: Section<'_>) -> Result<PlatformSettings> {
     let address = section.required("address", ADDRESS)?;
     let config_apply = section.default("config_apply_ms", MILLIS, DEFAULT_CHANGE_TIMEOUT_MS)?;
@@ -224,6 +257,41 @@
     Ok(exposure)
 }
 
+fn duties(mut section: Section<'_>) -> Result<DutySettings> {
+    let duties = DutySettings {
+        address: section.required("address", ADDRESS)?,
+        kinds: section
+            .list("kinds", "usage_report or autoscale")?
+            .into_iter()
+            .collect(),
+        calls_per_second: section.default("calls_per_s", "a number such as 50", DEFAULT_DUTY_CALLS_PER_SECOND)?,
+        lease: Duration::from_millis(section.default("lease_ms", MILLIS, DEFAULT_LEASE_MS)?),
+        window: seconds(&mut section, "report_window_s", 0.0)?,
+        report_timeout: seconds(&mut section, "report_timeout_s", DEFAULT_REPORT_TIMEOUT_S)?,
+    };
+    if duties.kinds.contains(&Duty::Usage) && duties.window < MIN_REPORT_WINDOW {
+        let value = duties.window.as_secs_f64().to_string();
+        let remedy = "a number of seconds of at least 1, which the duty usage_report needs";
+        return Err(section.error("report_window_s", &value, "is too short", remedy).into());
+    }
+    if duties.lease < MIN_LEASE {
+        let value = duties.lease.as_millis().to_string();
+        let remedy = "a number of milliseconds of at least 500";
+        return Err(section
+            .error("lease_ms", &value, "is too short to be renewed", remedy)
+            .into());
+    }
+    let rate = duties.calls_per_second;
+    if !rate.is_finite() || rate <= 0.0 {
+        let remedy = "a number of calls per second above 0";
+        return Err(section
+            .error("calls_per_s", &rate.to_string(), "is not a rate", remedy)
+            .into());
+    }
+    section.finish()?;
+    Ok(duties)
+}
+
 fn seconds<'a>(section: &mut Section<'a>, key: &'a str, default: f64) -> Result<Duration> {
     let value = section.default(key, SECONDS, default)?;
     Duration::try_from_secs_f64(value).map_err(|error| {
--- /dev/null
+++ b/crates/gateway/src/usage/runner.rs
@@ -0,0 +1,9 @@
+//! Reports the usage of each window while this host holds the duty.
+
+use std::rc::Rc;
+
+use crate::gateway::Gateway;
+use crate::platform::Platform;
+
+/// Starts the task.
+pub(crate) fn start<P: Platform>(_gateway: &Rc<Gateway>, _platform: &Rc<P>) {}
--- a/crates/gateway/tests/config_delta.rs
+++ b/crates/gateway/tests/config_delta.rs
@@ -52,7 +52,12 @@
         routes,
         services: services
             .into_iter()
-            .map(|name| Service { name, engine: None })
+            .map(|name| Service {
+                name,
+                engine: None,
+                max_connections: None,
+                scaling: None,
+            })
             .collect(),
         accounts,
         limits: Limits {
--- a/crates/gateway/tests/route.rs
+++ b/crates/gateway/tests/route.rs
@@ -30,6 +30,8 @@
     Service {
         name: name.to_owned(),
         engine,
+        max_connections: None,
+        scaling: None,
     }
 }
 
