--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -6,7 +6,7 @@
 //! |--------|---------|
 //! | [`fence`] | the holder's name and number in each call |
 //! | [`kind`] | the duties |
-//! | [`runner`] | keeps the lease |
+//! | `runner` | keeps the lease |
 
 pub mod fence;
 pub mod kind;
--- a/crates/gateway/src/scaling.rs
+++ b/crates/gateway/src/scaling.rs
@@ -3,7 +3,7 @@
 //! | module | concern |
 //! |--------|---------|
 //! | [`order`] | an order for a data centre |
-//! | [`runner`] | sends orders |
+//! | `runner` | sends orders |
 
 pub mod order;
 pub(crate) mod runner;
--- a/crates/gateway/src/usage.rs
+++ b/crates/gateway/src/usage.rs
@@ -3,7 +3,7 @@
 //! | module | concern |
 //! |--------|---------|
 //! | [`report`] | the report of a window |
-//! | [`runner`] | sends the reports |
+//! | `runner` | sends the reports |
 
 pub mod report;
 pub(crate) mod runner;
