--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod body_bytes;
+mod duties;
 mod reservation;
 mod rollouts;
 mod targets;
