--- a/crates/gateway/src/outbound.rs
+++ b/crates/gateway/src/outbound.rs
@@ -93,24 +93,34 @@
     ///
     /// Fails with [`Failure::Connect`], [`Failure::Refused`] or [`Failure::ConnectTimeout`].
     pub async fn open(address: SocketAddr, connect_timeout: Duration) -> Result<Self, Failure> {
-        let failed = |reason: String| Failure::Connect { address, reason };
-        let connected = timeout(connect_timeout, TcpStream::connect(address)).await;
-        let stream = connected
-            .map_err(|_elapsed| Failure::ConnectTimeout {
-                address,
-                limit: connect_timeout,
-            })?
-            .map_err(|error| match error.kind() {
-                ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => Failure::Refused { address },
-                _ => failed(error.to_string()),
-            })?;
-        stream.set_nodelay(true).map_err(|error| failed(error.to_string()))?;
+        let stream = connect(address, connect_timeout).await?;
+        Self::handshake(address, stream).await
+    }
+
+    /// Opens a connection that is reset when it is closed, so that no data of an abandoned request arrives later.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Self::open`].
+    pub async fn open_with_reset(address: SocketAddr, connect_timeout: Duration) -> Result<Self, Failure> {
+        let stream = connect(address, connect_timeout).await?;
+        stream.set_zero_linger().map_err(|error| Failure::Connect {
+            address,
+            reason: error.to_string(),
+        })?;
+        Self::handshake(address, stream).await
+    }
+
+    async fn handshake(address: SocketAddr, stream: TcpStream) -> Result<Self, Failure> {
         let (stream, meter) = Stream::new(stream);
         let handshake = http1::Builder::new()
             .read_buf_exact_size(Some(READ_BUFFER_BYTES))
             .handshake(TokioIo::new(stream))
             .await;
-        let (sender, connection) = handshake.map_err(|error| failed(error.to_string()))?;
+        let (sender, connection) = handshake.map_err(|error| Failure::Connect {
+            address,
+            reason: error.to_string(),
+        })?;
         let driver = tokio::task::spawn_local(async move {
             if let Err(error) = connection.await {
                 log::debug!("connection to {address} ended with an error: {error}");
@@ -234,6 +244,22 @@
     }
 }
 
+async fn connect(address: SocketAddr, connect_timeout: Duration) -> Result<TcpStream, Failure> {
+    let failed = |reason: String| Failure::Connect { address, reason };
+    let connected = timeout(connect_timeout, TcpStream::connect(address)).await;
+    let stream = connected
+        .map_err(|_elapsed| Failure::ConnectTimeout {
+            address,
+            limit: connect_timeout,
+        })?
+        .map_err(|error| match error.kind() {
+            ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => Failure::Refused { address },
+            _ => failed(error.to_string()),
+        })?;
+    stream.set_nodelay(true).map_err(|error| failed(error.to_string()))?;
+    Ok(stream)
+}
+
 /// Returns whether a new connection to an address is refused within a timeout.
 pub(crate) async fn refuses_connections(address: SocketAddr, connect_timeout: Duration) -> bool {
     let connected = timeout(connect_timeout, TcpStream::connect(address)).await;
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -88,6 +88,19 @@
     /// The object has changed since it was read.
     #[error("the object has changed; read it again")]
     Conflict,
+    /// The platform refused the call.
+    #[error("the platform refused the call with status {status}")]
+    Refused {
+        /// The status.
+        status: u16,
+    },
+}
+
+impl Failure {
+    /// Returns whether the platform responded to the call.
+    pub fn is_answer(&self) -> bool {
+        !matches!(self, Self::Unavailable(_))
+    }
 }
 
 /// An object that the gateway keeps in the store for itself.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -118,6 +118,14 @@
     pub report_timeout: Duration,
 }
 
+impl DutySettings {
+    /// Returns the time after which a call is abandoned. No call begins when the lease ends sooner, so it takes only a
+    /// small part of the lease.
+    pub fn call_timeout(&self) -> Duration {
+        MAX_DUTY_CALL_TIMEOUT.min(self.lease / 6)
+    }
+}
+
 /// Section `[log]`.
 #[derive(Clone, Copy, Debug)]
 pub struct LogSettings {
@@ -208,6 +216,8 @@
 const DEFAULT_DUTY_CALLS_PER_SECOND: f64 = 10.0;
 const DEFAULT_LEASE_MS: u64 = 3000;
 const DEFAULT_REPORT_TIMEOUT_S: f64 = 10.0;
+/// The longest time for which the platform's answer to a call is awaited.
+const MAX_DUTY_CALL_TIMEOUT: Duration = Duration::from_millis(500);
 /// The shortest lease that can be renewed several times within its term.
 const MIN_LEASE: Duration = Duration::from_millis(500);
 /// The shortest window of the usage reports, below which a call per window would be a burden.
