Spread the last observations of a trial over half a second

Found by reading: at the time when a trial was due, and at a peer's verdict, all hosts decided at once and sent their observations, a burst that grew with the number of hosts.

The test fails on the code before, where the function does not exist and each host waits for the due time.

--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -7,11 +7,13 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
+use crate::dissemination::MIN_HOSTS_FOR_RELAYS;
 use crate::duration::millis;
 use crate::event::Event;
 use crate::rollout::{Order, Relation, State};
 use crate::target::Target;
 use crate::trial::{Exposure, Latency, Observation, Outcome, Trial};
+use crate::trial_contact::observation_interval;
 use crate::versions::Versions;
 
 /// How long hosts announce a verdict. After this time peers can read it from the store.
@@ -19,6 +21,9 @@
 /// How long after a pause of the process failures may still be its consequence.
 const FAILURE_DELAY: Duration = Duration::from_secs(1);
 
+/// The time before a trial is due in which many hosts send their last observations.
+const LAST_OBSERVATIONS_DURATION: Duration = Duration::from_millis(500);
+
 /// The trials of all orders by service, each with the time of its verdict at this host.
 #[derive(Debug)]
 pub struct Rollouts {
@@ -226,8 +231,27 @@
         observations
     }
 
+    /// Returns the time until the next decision on the trials, after which the observations are sent.
+    ///
+    /// A host that writes verdicts to the store also decides when a trial is due, with the latest observations of the
+    /// others. Many hosts send these at random times shortly before, because a burst of all of them would fill small links.
+    pub fn pause_between_decisions(&mut self, now: Instant, live_hosts: usize, is_writer: bool) -> Duration {
+        let interval = observation_interval(live_hosts);
+        let Some(due) = self.time_to_verdict(now) else {
+            return interval;
+        };
+        if is_writer || live_hosts < MIN_HOSTS_FOR_RELAYS {
+            return due.min(interval);
+        }
+        let ahead = LAST_OBSERVATIONS_DURATION.mul_f64(self.random.random());
+        match due.checked_sub(ahead) {
+            Some(pause) if due > LAST_OBSERVATIONS_DURATION => pause.min(interval),
+            _ => interval,
+        }
+    }
+
     /// Returns the time until the next trial is due for a verdict, if there is one.
-    pub fn time_to_verdict(&self, now: Instant) -> Option<Duration> {
+    fn time_to_verdict(&self, now: Instant) -> Option<Duration> {
         let trials = self.trials.values().map(|(trial, _)| trial);
         let open = trials.filter(|trial| !trial.state().is_final());
         let times = open.map(|trial| trial.time_to_verdict(now));
--- a/crates/gateway/src/rollouts_runner.rs
+++ b/crates/gateway/src/rollouts_runner.rs
@@ -8,7 +8,6 @@
 use crate::feed::Update;
 use crate::gateway::Gateway;
 use crate::platform::{Change, Failure, Kind, Object, Platform};
-use crate::trial_contact::observation_interval;
 use crate::unusable;
 
 /// The maximum duration of a watch at the store. Orders are rare, and each call has a cost.
@@ -143,9 +142,7 @@
                 peers.broadcast_trial(observation);
             }
             self.write_states().await;
-            let pause = self.pause_between_decisions(hosts);
-            // A verdict of a peer has to be written before the deadline.
-            self.gateway.timer().timeout(pause, peers.verdict_received()).await;
+            self.pause_between_decisions(hosts).await;
             let is_busy = self.gateway.rollouts().borrow().is_busy(self.gateway.now());
             if !is_busy {
                 peers.trials_changed().await;
@@ -153,11 +150,21 @@
         }
     }
 
-    /// Returns the time until the next decision: until the next observations are sent, or a trial is due for a verdict.
-    fn pause_between_decisions(&self, hosts: usize) -> Duration {
-        let interval = observation_interval(hosts);
-        let due = self.gateway.rollouts().borrow().time_to_verdict(self.gateway.now());
-        due.map_or(interval, |due| due.min(interval))
+    /// Waits until the next decision. A verdict of a peer ends the wait where it has to be written to the store before the
+    /// deadline, and while there are few hosts.
+    async fn pause_between_decisions(&self, hosts: usize) {
+        let peers = self.gateway.peers();
+        let is_writer = self.gateway.is_watcher();
+        let pause = self
+            .gateway
+            .rollouts()
+            .borrow_mut()
+            .pause_between_decisions(self.gateway.now(), hosts, is_writer);
+        if is_writer || !peers.has_relays() {
+            self.gateway.timer().timeout(pause, peers.verdict_received()).await;
+        } else {
+            self.gateway.timer().sleep(pause).await;
+        }
     }
 
     /// Writes the states that the store lacks. Several hosts may do so; the store accepts the first write.
--- a/crates/gateway/tests/model/host.rs
+++ b/crates/gateway/tests/model/host.rs
@@ -12,10 +12,6 @@
 use super::message::Contents;
 use super::{EXPOSURE, SERVICE};
 
-/// The interval of decisions, and its addition per host.
-const MIN_INTERVAL: Duration = Duration::from_millis(200);
-const INTERVAL_PER_HOST: Duration = Duration::from_millis(8);
-
 pub struct Host {
     pub rollouts: Rollouts,
     pub is_paused: bool,
@@ -76,25 +72,24 @@
         self.known_revision = self.known_revision.max(*revision);
     }
 
-    pub fn merge(&mut self, now: Instant, from: usize, observation: Observation) {
+    /// Merges an observation; `wakes` tells whether one that changes the verdict leads to a decision at once.
+    pub fn merge(&mut self, now: Instant, from: usize, observation: Observation, wakes: bool) {
         let is_changed = self
             .rollouts
             .merge_peer(now, &format!("host-{from}"), observation, all_versions());
-        if is_changed {
+        if is_changed && wakes {
             self.next_decision = now;
         }
         self.check_order();
     }
 
     /// Decides if it is time to, and returns the observations for peers and the states to write.
-    pub fn decide(&mut self, now: Instant, hosts: usize) -> (Vec<Observation>, Vec<(Order, State)>) {
+    pub fn decide(&mut self, now: Instant, hosts: usize, is_writer: bool) -> (Vec<Observation>, Vec<(Order, State)>) {
         if now < self.next_decision {
             return (Vec::new(), Vec::new());
         }
-        let interval = MIN_INTERVAL.max(INTERVAL_PER_HOST * u32::try_from(hosts).unwrap_or(u32::MAX));
         let observations = self.rollouts.decide(now, hosts);
-        let due = self.rollouts.time_to_verdict(now);
-        self.next_decision = now + due.map_or(interval, |due| due.min(interval));
+        self.next_decision = now + self.rollouts.pause_between_decisions(now, hosts, is_writer);
         (observations, self.rollouts.unwritten())
     }
 
--- a/crates/gateway/tests/model/mod.rs
+++ b/crates/gateway/tests/model/mod.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use hawthornpost_core::clock::Instant;
+use hawthornpost_gateway::dissemination::MIN_HOSTS_FOR_RELAYS;
 use hawthornpost_gateway::rollout::{Order, State};
 use hawthornpost_gateway::trial::{Exposure, Outcome};
 use hawthornpost_gateway::versions::Versions;
@@ -261,7 +262,8 @@
                     self.hosts[message.to].must_list |= !is_applied;
                 }
                 Contents::Observation(observation) => {
-                    self.hosts[message.to].merge(self.now, message.from, *observation);
+                    let wakes = message.to < WATCHERS || self.hosts.len() < MIN_HOSTS_FOR_RELAYS;
+                    self.hosts[message.to].merge(self.now, message.from, *observation, wakes);
                 }
                 contents @ Contents::AllOrders(..) => self.hosts[message.to].apply(self.now, &contents),
             }
@@ -296,7 +298,7 @@
 
     fn decide(&mut self, index: usize) {
         let hosts = self.hosts.len();
-        let (observations, unwritten) = self.hosts[index].decide(self.now, hosts);
+        let (observations, unwritten) = self.hosts[index].decide(self.now, hosts, index < WATCHERS);
         for observation in observations {
             self.send_all(index, &Contents::Observation(Box::new(observation)));
         }
--- a/crates/gateway/tests/rollout.rs
+++ b/crates/gateway/tests/rollout.rs
@@ -161,3 +161,40 @@
     host.put(now, order("v1", 25, COMPLETED), versions(&["v1", "v2"]));
     assert_eq!(host.stable_versions(SERVICE), except(&["v2"]));
 }
+
+/// A trial is due in 700 ms, before the turn of many hosts. Guards against a burst of observations from all of them at that
+/// moment, and against a verdict without what the hosts saw last.
+#[test]
+fn many_hosts_send_their_last_observations_at_different_times() {
+    let start = Instant::ZERO;
+    let due = Duration::from_millis(700);
+    let mut counts = [0; 10];
+    for seed in 0..295 {
+        let mut host = Rollouts::new(EXPOSURE, seed);
+        host.put(start, order("v2", 15, None), versions(&["v1", "v2"]));
+        let now = start
+            + host
+                .pause_between_decisions(start, usize::MAX, true)
+                .saturating_sub(due);
+        assert_eq!(
+            host.pause_between_decisions(now, 295, true),
+            due,
+            "a host that writes the verdict"
+        );
+        assert_eq!(
+            host.pause_between_decisions(now, 6, false),
+            Duration::from_millis(200),
+            "few hosts"
+        );
+        let pause = host.pause_between_decisions(now, 295, false);
+        assert!((due - Duration::from_millis(500)..=due).contains(&pause), "{pause:?}");
+        counts[usize::try_from((due - pause).as_millis() / 51).expect("a small number")] += 1;
+        // It sends them once.
+        let next = host.pause_between_decisions(now + pause, 295, false);
+        assert_eq!(next, Duration::from_millis(295 * 8));
+    }
+    assert!(
+        counts.iter().all(|count| *count <= 60),
+        "{counts:?} in tenths of half a second"
+    );
+}
