Count the usage of client accounts and report each window once

Callers' requests are counted by account and window of true time when they begin to run: streams at their first event, plain requests when a target took them. Each host sends totals that only grow to the candidates for the duties; the holder records the sums of an ended window by a conditional write and reports them after it. Sums that are recorded never change, so a new holder and a repeated call report the same ones.

True time is the own wall clock unless it is more than 100 ms from the median of this host and its peers, whose wall times come with probes while usage is asked for. Ruled out: the median alone, which is late by the delay of datagrams on every host.

A model of four hosts checks 150 random runs with lost, late and failed calls and killed hosts for two different reports of a window, and 100 runs in which holders are killed for missing windows.

--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::io;
+use std::net::SocketAddr;
 
 use hawthornpost_core::id::Entry;
 use hawthornpost_core::membership::{Member, Message};
@@ -16,6 +17,7 @@
 use crate::quarantine::{Crash, Snapshot};
 use crate::target::Target;
 use crate::trial::Observation;
+use crate::usage::Batch;
 
 /// The maximum size of a datagram.
 pub(crate) const MAX_DATAGRAM_BYTES: usize = 60 << 10;
@@ -33,9 +35,21 @@
 #[serde(rename_all = "snake_case")]
 pub(crate) enum Datagram {
     /// A membership probe.
-    Ping { probe: u64, message: Message },
+    Ping {
+        probe: u64,
+        message: Message,
+        /// The wall time of the sender in milliseconds since the start of 1970, if usage is counted.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        wall_ms: Option<u64>,
+    },
     /// The response to a probe.
-    Pong { probe: u64, message: Message },
+    Pong {
+        probe: u64,
+        message: Message,
+        /// The wall time of the sender in milliseconds since the start of 1970, if usage is counted.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        wall_ms: Option<u64>,
+    },
     /// Requests an indirect probe of another host.
     PingVia {
         probe: u64,
@@ -68,6 +82,10 @@
     Replaced { target: String, successor: Option<Target> },
     /// Targets that have announced that they are leaving.
     Departures(Vec<Departure>),
+    /// The usage that the sender has counted.
+    Usage(Batch),
+    /// The host at this address holds the duty of reporting the usage and receives totals from now on.
+    UsageWanted { address: SocketAddr },
 }
 
 /// The load of a host at some targets (see [`crate::load_report`]), and its requests and retries in the last window.
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -135,6 +135,12 @@
     972 Info TargetPaused { target: &'a str, pause_ms: u64, asked: &'a str }
     /// A target sent a response or a refusal that does not name the request on its connection.
     973 Warn ForeignResponse { request: &'a str, target: &'a str, names: &'a str, status: u16 }
+    /// The holder of the duty reported the usage of a window.
+    981 Info UsageReported { window: u64, requests: u64, accounts: usize, hosts: usize, age_ms: u64 }
+    /// The usage of windows was not reported in time.
+    982 Warn UsageMissed { window: u64, count: u64, reason: &'a str }
+    /// Counts arrived after the report of their window and were dropped.
+    983 Warn UsageLate { window: u64, requests: u64 }
 }
 
 thread_local! {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -68,6 +68,7 @@
         attempts: 0,
         target: String::new(),
         is_retry_reserved: Cell::default(),
+        sent_at: Cell::default(),
         error_response: None,
         is_finished: false,
     };
@@ -87,6 +88,8 @@
     target: String,
     /// Whether the next retry is taken from the budget already.
     is_retry_reserved: Cell<bool>,
+    /// When the latest attempt was sent, unless the target refused it or it is counted.
+    sent_at: Cell<Option<Instant>>,
     /// An error response of a target, which is passed on if no attempt succeeds.
     error_response: Option<(Box<Parts>, Bytes)>,
     is_finished: bool,
@@ -109,6 +112,7 @@
             self.excluded.push(target.id.clone());
             let took_ms = millis(self.gateway.now().since(sent));
             self.record_trial(&target, &outcome, sent);
+            self.record_usage(&outcome);
             match outcome {
                 Outcome::Completed(head, body) if !self.is_retryable(&head) => return self.pass_on(*head, body),
                 Outcome::Completed(head, body) => {
@@ -265,6 +269,7 @@
         };
         let request = self.job.request(self.gateway, &dispatch);
         connection.set_limits(Limits::response(self.gateway.limits().response_bytes));
+        self.sent_at.set(Some(self.gateway.now()));
         let (head, body) = connection.send(request).await?.into_parts();
         let mut share = self.gateway.response_memory().share();
         let body = connection.read(body, |bytes| share.grow_to(bytes)).await?;
@@ -302,6 +307,22 @@
         self.gateway.record_outcome(&self.job.route.name, target, outcome);
     }
 
+    fn record_usage(&self, outcome: &Outcome) {
+        match outcome {
+            Outcome::NotRun { .. } => self.sent_at.set(None),
+            Outcome::Completed(..) | Outcome::Unknown(_) => self.count_usage(),
+        }
+    }
+
+    /// Counts the request if its latest attempt may be the first that ran.
+    fn count_usage(&self) {
+        if let Some(sent_at) = self.sent_at.take()
+            && self.executions == 0
+        {
+            self.gateway.count_usage(&self.job, sent_at);
+        }
+    }
+
     fn record_outcome(&self, target: &Target, failed: bool) {
         self.gateway.fleet().borrow_mut().record_outcome(&target.id, failed);
     }
@@ -414,6 +435,7 @@
         if self.is_finished {
             return;
         }
+        self.count_usage();
         Event::ClientLeft {
             request: &self.job.metadata.id,
             route: &self.job.route.name,
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -179,9 +179,14 @@
     scale_by_hosts(DEPUTY_DELAY_PER_HOST, hosts).min(MAX_DEPUTY_DELAY)
 }
 
-/// Returns whether a host is a watcher. Watchers are the first host of each data centre in the order of a hash of the
-/// names, up to [`MAX_WATCHERS`], and further hosts if there are fewer data centres.
+/// Returns whether a host is a watcher.
 pub fn is_watcher(own: &Entry, candidates: &[Candidate<'_>]) -> bool {
+    watchers(candidates).contains(&own)
+}
+
+/// Returns the watchers: the first host of each data centre in the order of a hash of the names, up to [`MAX_WATCHERS`],
+/// and further hosts if there are fewer data centres.
+pub fn watchers<'a>(candidates: &[Candidate<'a>]) -> Vec<&'a Entry> {
     let mut order = candidates.iter().collect::<Vec<_>>();
     order.sort_by_key(|candidate| (name_hash(candidate.entry), candidate.entry));
     let mut data_centres = BTreeSet::new();
@@ -193,11 +198,7 @@
             others.push(candidate.entry);
         }
     }
-    first
-        .into_iter()
-        .chain(others)
-        .take(MAX_WATCHERS)
-        .any(|entry| entry == own)
+    first.into_iter().chain(others).take(MAX_WATCHERS).collect()
 }
 
 /// Returns the hash that orders hosts, so that the order does not depend on a naming scheme.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,6 +6,7 @@
 mod reservation;
 mod rollouts;
 mod targets;
+mod usage;
 mod watcher;
 
 use std::cell::{Cell, RefCell};
@@ -27,7 +28,7 @@
 use crate::idle_timer;
 use crate::load::Load;
 use crate::peers::Peers;
-use crate::quarantine_shared::Shared;
+use crate::quarantine_shared;
 use crate::response_memory::Pool;
 use crate::response_times::Times;
 use crate::rollouts::Rollouts;
@@ -35,6 +36,7 @@
 use crate::settings::{LimitSettings, Settings};
 use crate::state_sender::Sender;
 use crate::successor::Replacement;
+use crate::usage::Shared;
 
 pub use admission::Admission;
 pub use body_bytes::BodyBytes;
@@ -65,7 +67,7 @@
     handled_pause: Cell<Option<Instant>>,
     /// Wakes the task that reads rollout orders from the store.
     orders_outdated: Notify,
-    quarantine: Shared,
+    quarantine: quarantine_shared::Shared,
     peers: Peers,
     phase: watch::Sender<Phase>,
     /// The deadline of the open requests of a stopping process.
@@ -75,6 +77,7 @@
     body_bytes: Cell<usize>,
     response_memory: Arc<Pool>,
     response_times: RefCell<Times>,
+    usage: Option<Shared>,
 }
 
 /// The lifecycle phase of the process.
@@ -114,7 +117,7 @@
             rollouts: RefCell::new(Rollouts::new(settings.rollouts, rand::random())),
             handled_pause: Cell::default(),
             orders_outdated: Notify::new(),
-            quarantine: Shared::new(),
+            quarantine: quarantine_shared::Shared::new(),
             peers: Peers::new(&settings),
             phase: watch::Sender::new(Phase::Running),
             shutdown_deadline: Cell::default(),
@@ -123,6 +126,7 @@
             body_bytes: Cell::default(),
             response_memory: Arc::default(),
             response_times: RefCell::default(),
+            usage: Shared::new(&settings),
             limits: Cell::new(settings.limits),
             settings,
         })
@@ -262,7 +266,7 @@
     }
 
     /// Returns the parts of prompts that crash engines.
-    pub(crate) fn quarantine(&self) -> &Shared {
+    pub(crate) fn quarantine(&self) -> &quarantine_shared::Shared {
         &self.quarantine
     }
 
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -42,6 +42,11 @@
 /// Whether this host accepts new requests.
 pub const READY: &str = "hawthornpost_gateway_ready";
 
+/// Windows whose usage was not reported in time.
+pub const USAGE_MISSED: &str = "hawthornpost_gateway_usage_windows_missed_total";
+/// The time from the end of the last reported window to its report.
+pub const USAGE_REPORT_AGE: &str = "hawthornpost_gateway_usage_report_age_seconds";
+
 /// All metrics with their descriptions; a test compares them with `docs/OPERATIONS.md`.
 pub const DESCRIPTIONS: &[(&str, &str)] = &[
     (REQUESTS, "requests by route, account and outcome"),
@@ -81,6 +86,11 @@
     (HOSTS, "live entry hosts, this one included"),
     (OPEN, "open requests"),
     (READY, "1 when this host takes new work, otherwise 0"),
+    (USAGE_MISSED, "windows whose usage was not reported in time"),
+    (
+        USAGE_REPORT_AGE,
+        "seconds from the end of the last window that this host reported to the report",
+    ),
 ];
 
 /// The direction of a transfer, seen from this host.
@@ -174,6 +184,16 @@
     metrics::counter!(STATE_BYTES, &labels).increment(bytes as u64);
 }
 
+/// Counts windows whose usage was not reported in time.
+pub(crate) fn record_missed_windows(count: u64) {
+    metrics::counter!(USAGE_MISSED).increment(count);
+}
+
+/// Records how long after the end of a window its usage was reported.
+pub(crate) fn record_report(age: Duration) {
+    metrics::gauge!(USAGE_REPORT_AGE).set(age.as_secs_f64());
+}
+
 fn count_request(route: &str, account: &str, outcome: &'static str) {
     let labels = [
         ("route", route.to_owned()),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -3,6 +3,8 @@
 //! Hosts communicate over UDP, because a datagram cannot get stuck behind a stalled connection. Data that does not fit
 //! into a datagram, such as a configuration, is fetched from the peer's HTTP endpoint.
 
+mod watchers;
+
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -18,7 +20,7 @@
 use crate::departures::Departure;
 use crate::dissemination::{self, MIN_HOSTS_FOR_RELAYS, Plan};
 use crate::duration::millis;
-use crate::feed::{self, Candidate, Update};
+use crate::feed::Update;
 use crate::settings::Settings;
 use crate::target::Target;
 use crate::trial::Observation;
@@ -272,18 +274,6 @@
         }
     }
 
-    /// Returns whether this host is one of the hosts that watch the store.
-    pub fn is_watcher(&self) -> bool {
-        let table = self.table.borrow();
-        let live = table.live();
-        let available = live.iter().filter(|member| !member.draining);
-        let candidates = available.map(|member| Candidate {
-            entry: &member.name,
-            data_centre: &member.data_centre,
-        });
-        feed::is_watcher(&self.name, &candidates.collect::<Vec<_>>())
-    }
-
     /// Sends a datagram to the other hosts.
     pub(crate) fn broadcast(&self, datagram: Datagram) {
         self.outbox.borrow_mut().push(datagram);
@@ -335,7 +325,11 @@
             updates: Vec::new(),
             payload: self.revision.get(),
         };
-        Datagram::Ping { probe: 0, message }
+        Datagram::Ping {
+            probe: 0,
+            message,
+            wall_ms: None,
+        }
     }
 
     /// Records which state the sender of a message has.
--- a/crates/gateway/src/peers_runner.rs
+++ b/crates/gateway/src/peers_runner.rs
@@ -20,6 +20,7 @@
 use crate::load_exchange::Exchange;
 use crate::peers::Peers;
 use crate::successor;
+use crate::usage;
 
 /// The maximum number of members in a datagram. Larger ones would be lost more often, as each takes several packets.
 const MAX_VIEW_MEMBERS: usize = 64;
@@ -83,6 +84,7 @@
     gateway: Rc<Gateway>,
     socket: Rc<Socket>,
     loads: Exchange,
+    usage: usage::exchange::Exchange,
     relayed: RefCell<BTreeMap<u64, Relayed>>,
     next_relay: Cell<u64>,
 }
@@ -105,6 +107,7 @@
     let socket = Rc::new(Socket(socket));
     let runner = Rc::new(Runner {
         loads: Exchange::new(&gateway, &socket),
+        usage: usage::exchange::Exchange::new(&gateway, &socket),
         gateway,
         socket,
         relayed: RefCell::default(),
@@ -117,6 +120,7 @@
         Task::Batches,
         Task::Changes,
         Task::Repeats,
+        Task::Usage,
     ] {
         let runner = Rc::clone(&runner);
         tokio::task::spawn_local(async move { runner.run(task).await });
@@ -132,6 +136,7 @@
     Batches,
     Changes,
     Repeats,
+    Usage,
 }
 
 impl Runner {
@@ -143,6 +148,7 @@
             Task::Batches => self.loads.send_batches().await,
             Task::Changes => self.broadcast_changes().await,
             Task::Repeats => self.repeat_state().await,
+            Task::Usage => self.usage.run().await,
         }
     }
 
@@ -178,7 +184,12 @@
         let now = self.gateway.now();
         self.peers().record_heard(now);
         match datagram {
-            Datagram::Ping { probe, message } => {
+            Datagram::Ping {
+                probe,
+                message,
+                wall_ms,
+            } => {
+                self.gateway.record_wall_time(&message.from.name, wall_ms);
                 self.peers().record_state(&message);
                 let (response, commands) = self.peers().table.borrow_mut().receive(now, &message);
                 if probe > 0 {
@@ -187,12 +198,20 @@
                         &Datagram::Pong {
                             probe,
                             message: response,
+                            wall_ms: self.gateway.wall_ms(),
                         },
                     );
                 }
                 self.execute(commands);
             }
-            Datagram::Pong { probe, message } => self.handle_pong(now, probe, message),
+            Datagram::Pong {
+                probe,
+                message,
+                wall_ms,
+            } => {
+                self.gateway.record_wall_time(&message.from.name, wall_ms);
+                self.handle_pong(now, probe, message);
+            }
             Datagram::PingVia { probe, target, message } => self.relay(now, from, probe, &target, &message),
             Datagram::View { members } => {
                 let commands = self.peers().table.borrow_mut().merge(now, &members);
@@ -231,6 +250,8 @@
                     self.gateway.add_departure(departure, "peer");
                 }
             }
+            Datagram::Usage(batch) => self.gateway.merge_usage(&batch),
+            Datagram::UsageWanted { address } => self.gateway.subscribe_to_usage(address),
             Datagram::Replaced { target, successor } => {
                 self.gateway.fleet().borrow_mut().mark_replaced(&target);
                 if let Some(successor) = successor {
@@ -247,7 +268,15 @@
             let commands = self.peers().table.borrow_mut().apply(now, &message);
             self.execute(commands);
             let probe = relayed.probe;
-            self.send(relayed.requester, &Datagram::Pong { probe, message });
+            let wall_ms = None;
+            self.send(
+                relayed.requester,
+                &Datagram::Pong {
+                    probe,
+                    message,
+                    wall_ms,
+                },
+            );
             return;
         }
         let event = membership::Event::Answered { probe, message };
@@ -273,7 +302,7 @@
             },
         );
         drop(relayed);
-        self.send(address, &Datagram::Ping { probe: number, message });
+        self.ping(address, number, message);
     }
 
     fn execute(&self, commands: Vec<Command>) {
@@ -284,7 +313,7 @@
                     address,
                     message,
                 } => {
-                    self.send(address, &Datagram::Ping { probe, message });
+                    self.ping(address, probe, message);
                 }
                 Command::PingVia {
                     probe,
@@ -306,6 +335,18 @@
         }
     }
 
+    fn ping(&self, address: SocketAddr, probe: u64, message: Message) {
+        let wall_ms = self.gateway.wall_ms();
+        self.send(
+            address,
+            &Datagram::Ping {
+                probe,
+                message,
+                wall_ms,
+            },
+        );
+    }
+
     fn record_change(&self, member: &Member) {
         if !member.is_live() {
             self.gateway.fleet().borrow_mut().remove_peer(member.name.as_str());
--- a/crates/gateway/src/stream_attempt.rs
+++ b/crates/gateway/src/stream_attempt.rs
@@ -331,6 +331,7 @@
     /// comparable.
     fn record_first_event(&self, stream: &mut Progress, sent: Instant) {
         if !stream.output.has_begun() {
+            stream.count_usage();
             let took = stream.gateway.now().since(sent);
             stream.record_trial(&self.target, trial::Outcome::Responded(took));
             stream.start_wait(&self.target, trial::Latency::EventInterval);
--- a/crates/gateway/src/stream_progress.rs
+++ b/crates/gateway/src/stream_progress.rs
@@ -55,6 +55,13 @@
         }
     }
 
+    /// Counts a stream that has begun, unless the caller resumes one.
+    pub(crate) fn count_usage(&self) {
+        if self.job.metadata.last_event.is_none() {
+            self.gateway.count_usage(&self.job, self.gateway.now());
+        }
+    }
+
     /// Returns the resources that the stream needs at an engine.
     pub(crate) fn need(&self) -> Need {
         let engine = self.gateway.table().engine(&self.job.service);
--- a/crates/gateway/src/usage/report.rs
+++ b/crates/gateway/src/usage/report.rs
@@ -1,6 +1,6 @@
 //! The report of a window.
 
-use std::collections::BTreeMap;
+use crate::usage::Counts;
 
 /// The requests of each client account that began to run in a window.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -8,5 +8,5 @@
     /// The number of the window, counted from the start of 1970 in units of its length.
     pub window: u64,
     /// The counts by account.
-    pub counts: BTreeMap<String, u64>,
+    pub counts: Counts,
 }
