Keep the lease of the duties

core::duty decides without I/O which host may make the calls of duties. Its fencing number is the version of the write that took the lease and stays the same while the lease is renewed. The gateway's task executes its commands and gates the calls; the lease is released at a planned stop, when other hosts compete, when this host hears from less than half of the hosts, and when the platform answers no calls.

Only deployments with a section [duties] run any of this.

--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -32,6 +32,21 @@
     #[serde(rename = "orders_end_ms")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub orders_end: Duration,
+    /// The tenure of the holder, for holders that keep their fencing number while they renew the lease.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tenure: Option<Tenure>,
+}
+
+/// The time for which one process holds a lease without another holder in between.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tenure {
+    /// A random number of the process, below 2^53 so that every JSON decoder reads it exactly.
+    pub process: u64,
+    /// The number of writes of the process so far. A write without a change would produce no new version.
+    pub writes: u64,
+    /// The version of the write that took the lease; absent in that write itself.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub number: Option<Version>,
 }
 
 /// The holder's view of its own lease.
@@ -107,6 +122,11 @@
         self.held.as_ref().map(|held| held.sent + self.term / 3)
     }
 
+    /// Returns when the last renewal that took effect was sent.
+    pub fn renewed_at(&self) -> Option<Instant> {
+        self.held.as_ref().map(|held| held.sent)
+    }
+
     /// Returns when the lease ends for the holder.
     pub fn expires_at(&self) -> Option<Instant> {
         self.held.as_ref().map(|held| held.expires_at)
@@ -127,20 +147,29 @@
 }
 
 impl Observer {
-    /// Records the result of a read. `now` must be taken after the response arrived.
-    pub fn observe(&mut self, now: Instant, found: Option<(Version, Lease)>) {
+    /// Records the result of a read, and returns whether it is as recent as earlier ones. `now` must be taken after the
+    /// response arrived.
+    pub fn observe(&mut self, now: Instant, found: Option<(Version, Lease)>) -> bool {
         let (version, lease) = found.unzip();
-        let known = self
-            .observation
-            .as_ref()
-            .is_some_and(|observation| observation.version == version);
-        if !known {
+        let known = self.observation.as_ref().map(|observation| observation.version);
+        // A read that may be stale returns an earlier version.
+        if known.is_some_and(|known| version < known) {
+            return false;
+        }
+        if known != Some(version) {
             self.observation = Some(Observation {
                 version,
                 at: now,
                 lease,
             });
         }
+        true
+    }
+
+    /// Returns the version and the contents that were read last; `None` if the object does not exist or was not read.
+    pub fn lease(&self) -> Option<(Version, &Lease)> {
+        let observation = self.observation.as_ref()?;
+        observation.version.zip(observation.lease.as_ref())
     }
 
     /// Returns the version to replace if the lease may be acquired now; `Some(None)` means to create the object.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`clock`] | points in time, passed in by the caller |
 //! | [`config`] | versioned configuration and its distribution |
 //! | [`discovery`] | discovery of entry addresses, draining |
+//! | [`duty`] | calls that one host at a time makes |
 //! | [`generation`] | state machine of a generation: attempts, replication, release |
 //! | [`handle`] | resume handles |
 //! | [`id`] | typed names and ids |
@@ -48,6 +49,10 @@
 mod config_writer;
 pub mod discovery;
 mod discovery_drain;
+pub mod duty;
+mod duty_calls;
+mod duty_candidate;
+mod duty_identity;
 mod error;
 mod error_wrapper;
 pub mod generation;
--- a/crates/core/src/order.rs
+++ b/crates/core/src/order.rs
@@ -363,6 +363,7 @@
             holder: Some(self.entry.clone()),
             term: self.limits.term,
             orders_end: self.limits.orders_end().max(self.previous_orders_end.since(now)),
+            tenure: None,
         };
         Command::Write(base, lease)
     }
@@ -374,6 +375,7 @@
             holder: None,
             term: self.limits.term,
             orders_end: self.own_orders_end.max(self.previous_orders_end).since(now),
+            tenure: None,
         };
         Command::Write(Some(version), lease)
     }
--- a/crates/core/src/platform.rs
+++ b/crates/core/src/platform.rs
@@ -231,7 +231,11 @@
 impl Budget {
     /// Creates a limiter for `per_second` calls per second with bursts of up to `burst` calls.
     pub fn new(per_second: u32, burst: u32) -> Self {
-        let interval = Duration::from_secs(1) / per_second.max(1);
+        Self::with_interval(Duration::from_secs(1) / per_second.max(1), burst)
+    }
+
+    /// Creates a limiter for a call per interval with bursts of up to `burst` calls.
+    pub fn with_interval(interval: Duration, burst: u32) -> Self {
         Self {
             interval,
             burst: interval * burst.max(1),
--- a/crates/core/tests/lease.rs
+++ b/crates/core/tests/lease.rs
@@ -17,6 +17,7 @@
         holder: holder.map(|name| Entry::new(name).expect("valid name")),
         term: TERM,
         orders_end,
+        tenure: None,
     }
 }
 
--- a/crates/daemon/src/timer.rs
+++ b/crates/daemon/src/timer.rs
@@ -19,6 +19,8 @@
 #[derive(Debug)]
 pub struct Timer {
     start: Instant,
+    /// The time since boot at the start; `None` where it is not available.
+    boot_start: Option<Duration>,
     service: RefCell<Service<Rc<Notify>>>,
     /// Wakes the loop for a deadline that is earlier than the one it sleeps for.
     earlier_deadline: Notify,
@@ -32,6 +34,7 @@
     pub fn new() -> Self {
         Self {
             start: Instant::now(),
+            boot_start: time_since_boot(),
             service: RefCell::default(),
             earlier_deadline: Notify::new(),
             next_wake: Cell::default(),
@@ -45,6 +48,16 @@
         clock::Instant::from_start(self.start.elapsed())
     }
 
+    /// Returns the time since the service was created, including the time for which the machine was suspended. Leases are
+    /// measured with it, because the clocks of other hosts go on meanwhile.
+    pub fn now_with_suspension(&self) -> clock::Instant {
+        let elapsed = time_since_boot().zip(self.boot_start);
+        elapsed.map_or_else(
+            || self.now(),
+            |(now, start)| clock::Instant::from_start(now.saturating_sub(start)),
+        )
+    }
+
     /// Returns when the last pause of the process ended.
     ///
     /// Leases and other state with a lifetime from before that time must be treated as expired.
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -82,6 +82,7 @@
         "targets_revision": gateway.fleet_revision(),
         "targets": targets.collect::<Vec<_>>(),
         "members": gateway.peers().members(),
+        "duties": gateway.duties().map(|duties| duties.dump(gateway.lease_now())),
         "quarantine": gateway.quarantine().dump(gateway.now()),
         "open_requests": gateway.open_requests(),
     })
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -135,6 +135,12 @@
     972 Info TargetPaused { target: &'a str, pause_ms: u64, asked: &'a str }
     /// A target sent a response or a refusal that does not name the request on its connection.
     973 Warn ForeignResponse { request: &'a str, target: &'a str, names: &'a str, status: u16 }
+    /// This host holds the lease of the duties.
+    981 Info DutiesBegan { number: u64, term_ms: u64 }
+    /// This host lost the lease of the duties.
+    982 Warn DutiesLost { number: u64, reason: &'a str, held_ms: u64 }
+    /// This host released the lease of the duties.
+    983 Info DutiesReleased { number: u64, reason: &'a str, held_ms: u64 }
 }
 
 thread_local! {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -22,6 +22,7 @@
 use crate::config::{Config, Limits};
 use crate::config_delta::{self, Delta};
 use crate::dialect::Dialect;
+use crate::duty;
 use crate::event::Event;
 use crate::fleet::Fleet;
 use crate::idle_timer;
@@ -66,6 +67,8 @@
     /// Wakes the task that reads rollout orders from the store.
     orders_outdated: Notify,
     quarantine: Shared,
+    /// The lease of the duties; `None` if this deployment has none.
+    duties: Option<duty::State>,
     peers: Peers,
     phase: watch::Sender<Phase>,
     /// The deadline of the open requests of a stopping process.
@@ -115,6 +118,10 @@
             handled_pause: Cell::default(),
             orders_outdated: Notify::new(),
             quarantine: Shared::new(),
+            duties: settings
+                .duties
+                .as_ref()
+                .map(|duties| duty::State::new(&settings.entry.name, duties)),
             peers: Peers::new(&settings),
             phase: watch::Sender::new(Phase::Running),
             shutdown_deadline: Cell::default(),
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -41,6 +41,10 @@
 pub const OPEN: &str = "hawthornpost_gateway_open_requests";
 /// Whether this host accepts new requests.
 pub const READY: &str = "hawthornpost_gateway_ready";
+/// Whether this host holds the lease of the duties.
+pub const DUTY_HOLDER: &str = "hawthornpost_gateway_duty_holder";
+/// The age of this host's last renewal of the lease of the duties.
+pub const DUTY_RENEWAL_AGE: &str = "hawthornpost_gateway_duty_renewal_age_seconds";
 
 /// All metrics with their descriptions; a test compares them with `docs/OPERATIONS.md`.
 pub const DESCRIPTIONS: &[(&str, &str)] = &[
@@ -81,6 +85,14 @@
     (HOSTS, "live entry hosts, this one included"),
     (OPEN, "open requests"),
     (READY, "1 when this host takes new work, otherwise 0"),
+    (
+        DUTY_HOLDER,
+        "1 when this host holds the lease of the duties, otherwise 0",
+    ),
+    (
+        DUTY_RENEWAL_AGE,
+        "seconds since the holder sent its last renewal of the lease of the duties, on other hosts 0",
+    ),
 ];
 
 /// The direction of a transfer, seen from this host.
@@ -195,5 +207,10 @@
     metrics::gauge!(HOSTS).set(gateway.peers().live_hosts() as f64);
     metrics::gauge!(OPEN).set(gateway.open_requests() as f64);
     metrics::gauge!(READY).set(f64::from(u8::from(gateway.is_ready())));
+    if let Some(duties) = gateway.duties() {
+        let age = duties.renewal_age(gateway.lease_now());
+        metrics::gauge!(DUTY_HOLDER).set(f64::from(u8::from(age.is_some())));
+        metrics::gauge!(DUTY_RENEWAL_AGE).set(age.unwrap_or_default().as_secs_f64());
+    }
     RECORDER.get().map(PrometheusHandle::render).unwrap_or_default()
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -95,7 +95,7 @@
     let Some(settings) = &gateway.settings().duties else {
         return;
     };
-    duty::runner::start(gateway, platform);
+    duty::runner::start(gateway, platform, settings);
     for kind in &settings.kinds {
         match kind {
             Duty::Usage => usage::runner::start(gateway, platform),
