--- a/crates/gateway/src/usage/runner.rs
+++ b/crates/gateway/src/usage/runner.rs
@@ -10,7 +10,7 @@
 use crate::event::Event;
 use crate::gateway::Gateway;
 use crate::metric;
-use crate::platform::{Consistency, Failure, Platform, Record};
+use crate::platform::{Consistency, Platform, Record};
 use crate::usage::ledger::Step;
 use crate::usage::{Ledger, Notice, Report, Shared};
 
@@ -116,7 +116,11 @@
         let call = self.platform.report_usage(&fence, report);
         let timeout = self.gateway.duty_call_timeout();
         let result = self.gateway.timer().timeout(timeout, call).await;
-        let is_answered = !matches!(result, None | Some(Err(Failure::Unavailable(_))));
+        let is_answered = match &result {
+            Some(Ok(())) => true,
+            Some(Err(error)) => error.is_answer(),
+            None => false,
+        };
         self.gateway.record_duty_call(is_answered);
         let now = self.gateway.now();
         if let Some(Ok(())) = result {
--- a/crates/gateway/tests/usage_ledger.rs
+++ b/crates/gateway/tests/usage_ledger.rs
@@ -48,7 +48,7 @@
     }
 
     /// Takes a report; another one for the same window must not differ.
-    fn report(&mut self, time: Duration, report: Report) {
+    fn report(&mut self, time: Duration, report: &Report) {
         let (_, counts) = self
             .reports
             .entry(report.window)
@@ -168,7 +168,7 @@
         if let Some((base, contents)) = late {
             self.platform.write(base, &contents);
         }
-        let (time, now) = (self.time, Instant::from_start(self.time - START));
+        let (time, now) = (self.time, Instant::from_start(self.time.saturating_sub(START)));
         let is_failure = self.rng.random_bool(failures);
         // A call that fails may take effect at once, later or never.
         let fate = self.rng.random_range(0..3);
@@ -190,13 +190,13 @@
             },
             Step::Report(report) if is_failure => {
                 if fate == 0 {
-                    self.platform.report(time, report);
+                    self.platform.report(time, &report);
                 }
                 host.ledger.report_failed(now);
             }
             Step::Report(report) => {
                 host.ledger.reported(time, &report, &host.totals);
-                self.platform.report(time, report);
+                self.platform.report(time, &report);
             }
             Step::Wait => {}
         }
@@ -222,7 +222,7 @@
     /// Returns the windows that ended long enough before the end of the run, without the first one.
     fn ended(&self) -> impl Iterator<Item = u64> + use<> {
         let first = timing().grid.window(START) + 1;
-        first..timing().grid.window(self.time - TIMEOUT)
+        first..timing().grid.window(self.time.saturating_sub(TIMEOUT))
     }
 }
 
