--- a/crates/gateway/tests/usage_clock.rs
+++ b/crates/gateway/tests/usage_clock.rs
@@ -24,7 +24,7 @@
 fn wall(now: Instant, deviation: i64) -> Duration {
     let time = START + now.since_start();
     if deviation < 0 {
-        time - Duration::from_secs(deviation.unsigned_abs())
+        time.saturating_sub(Duration::from_secs(deviation.unsigned_abs()))
     } else {
         time + Duration::from_secs(deviation.unsigned_abs())
     }
@@ -55,7 +55,7 @@
     let mut clock = Clock::default();
     let delay = Duration::from_millis(30);
     for peer in ["a", "b", "c"] {
-        clock.record(at(20), peer, wall(at(20), 0) - delay);
+        clock.record(at(20), peer, wall(at(20), 0).saturating_sub(delay));
     }
     assert_eq!(clock.time(at(20), wall(at(20), 0)), START + Duration::from_secs(20));
 }
