--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,6 +6,7 @@
 mod reservation;
 mod rollouts;
 mod targets;
+mod usage;
 mod watcher;
 
 use std::cell::{Cell, RefCell};
@@ -23,12 +24,13 @@
 use crate::config_delta::{self, Delta};
 use crate::deputies::Deputies;
 use crate::dialect::Dialect;
+use crate::duty;
 use crate::event::Event;
 use crate::fleet::Fleet;
 use crate::idle_timer;
 use crate::load::Load;
 use crate::peers::Peers;
-use crate::quarantine_shared::Shared;
+use crate::quarantine_shared;
 use crate::response_memory::Pool;
 use crate::response_times::Times;
 use crate::rollouts::Rollouts;
@@ -36,6 +38,7 @@
 use crate::settings::{LimitSettings, Settings};
 use crate::state_sender::Sender;
 use crate::successor::Replacement;
+use crate::usage::Shared;
 
 pub use admission::Admission;
 pub use body_bytes::BodyBytes;
@@ -68,7 +71,9 @@
     handled_pause: Cell<Option<Instant>>,
     /// Wakes the task that reads rollout orders from the store.
     orders_outdated: Notify,
-    quarantine: Shared,
+    quarantine: quarantine_shared::Shared,
+    /// The lease of the duties; `None` if this deployment has none.
+    duties: Option<duty::State>,
     peers: Peers,
     phase: watch::Sender<Phase>,
     /// The deadline of the open requests of a stopping process.
@@ -78,6 +83,7 @@
     body_bytes: Cell<usize>,
     response_memory: Arc<Pool>,
     response_times: RefCell<Times>,
+    usage: Option<Shared>,
 }
 
 /// The lifecycle phase of the process.
@@ -118,7 +124,11 @@
             rollouts: RefCell::new(Rollouts::new(settings.rollouts, rand::random())),
             handled_pause: Cell::default(),
             orders_outdated: Notify::new(),
-            quarantine: Shared::new(),
+            quarantine: quarantine_shared::Shared::new(),
+            duties: settings
+                .duties
+                .as_ref()
+                .map(|duties| duty::State::new(&settings.entry.name, duties)),
             peers: Peers::new(&settings),
             phase: watch::Sender::new(Phase::Running),
             shutdown_deadline: Cell::default(),
@@ -127,6 +137,7 @@
             body_bytes: Cell::default(),
             response_memory: Arc::default(),
             response_times: RefCell::default(),
+            usage: Shared::new(&settings),
             limits: Cell::new(settings.limits),
             settings,
         })
@@ -266,7 +277,7 @@
     }
 
     /// Returns the parts of prompts that crash engines.
-    pub(crate) fn quarantine(&self) -> &Shared {
+    pub(crate) fn quarantine(&self) -> &quarantine_shared::Shared {
         &self.quarantine
     }
 
