--- a/crates/core/src/duty_candidate.rs
+++ b/crates/core/src/duty_candidate.rs
@@ -5,7 +5,7 @@
 use crate::clock::Instant;
 use crate::duty::{Command, Eligibility, Event, Limits, Reason};
 use crate::duty_calls::Calls;
-use crate::duty_identity::Identity;
+use crate::duty_identity::{Found, Identity};
 use crate::id::Entry;
 use crate::lease::{Holder, Lease, Observer, lengthen_for_drift};
 use crate::platform::{Failure, Version};
@@ -189,19 +189,25 @@
         if !self.observer.observe(now, found) {
             return;
         }
-        match (self.identity.find_own(&self.observer), &mut self.own) {
-            // A write of this process whose answer was lost took effect.
-            (Some((version, _)), Some(own)) => own.version = version,
-            (Some((version, number)), own @ None) => {
-                *own = Some(Own {
-                    number,
-                    version,
-                    release: None,
-                });
-            }
-            (None, Some(_)) => self.lose(),
-            (None, None) => {}
+        match self.identity.find_own(&self.observer) {
+            Some(found) => self.adopt(found),
+            None if self.own.is_some() => self.lose(),
+            None => {}
+        }
+    }
+
+    /// Continues from a write of this process whose answer was lost.
+    fn adopt(&mut self, found: Found) {
+        if found.is_last_write {
+            // The term is counted from before the write was sent, as if the answer had arrived.
+            self.holder.renewed(found.version);
         }
+        let release = self.own.and_then(|own| own.release);
+        self.own = Some(Own {
+            number: found.number,
+            version: found.version,
+            release,
+        });
     }
 
     fn lose(&mut self) {
--- a/crates/core/src/duty_identity.rs
+++ b/crates/core/src/duty_identity.rs
@@ -58,11 +58,26 @@
         }
     }
 
-    /// Returns the version of the lease object and the fencing number if this process holds the lease.
-    pub(crate) fn find_own(&self, observer: &Observer) -> Option<(Version, Version)> {
+    /// Returns the lease object if this process holds it.
+    pub(crate) fn find_own(&self, observer: &Observer) -> Option<Found> {
         let (version, lease) = observer.lease()?;
         let tenure = lease.tenure.filter(|tenure| tenure.process == self.process)?;
         lease.holder.as_ref().filter(|holder| **holder == self.entry)?;
-        Some((version, tenure.number.unwrap_or(version)))
+        Some(Found {
+            version,
+            number: tenure.number.unwrap_or(version),
+            is_last_write: tenure.writes == self.writes,
+        })
     }
 }
+
+/// A lease object that this process has written.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Found {
+    /// The version.
+    pub version: Version,
+    /// The fencing number.
+    pub number: Version,
+    /// Whether it is the last write that this process sent.
+    pub is_last_write: bool,
+}
