--- a/crates/core/src/duty_candidate.rs
+++ b/crates/core/src/duty_candidate.rs
@@ -6,6 +6,7 @@
 use crate::duty::{Command, Eligibility, Event, Limits, Reason};
 use crate::duty_calls::Calls;
 use crate::duty_identity::{Found, Identity};
+use crate::duty_step::Step;
 use crate::id::Entry;
 use crate::lease::{Holder, Lease, Observer, lengthen_for_drift};
 use crate::platform::{Failure, Version};
@@ -32,7 +33,8 @@
     calls: Calls,
     /// Until when this host leaves the lease to others after it released it because of a fault.
     penalty_end: Instant,
-    call: Option<Call>,
+    /// The call to the store that has not ended.
+    step: Option<Step>,
     must_read_latest: bool,
     next_read: Instant,
     retry_at: Instant,
@@ -48,24 +50,6 @@
     release: Option<Reason>,
 }
 
-/// A call to the store that has not ended.
-#[derive(Clone, Debug)]
-enum Call {
-    Read { is_latest: bool },
-    Take(Lease),
-    Renew(Lease),
-    Release(Lease),
-}
-
-#[derive(Clone, Copy, Debug)]
-enum Action {
-    ReadLatest,
-    ReadStale,
-    Take,
-    Renew,
-    Release,
-}
-
 impl Candidate {
     /// Creates the candidate of a process, which is identified by a random number. `start` is when the process started.
     pub fn new(entry: Entry, process: u64, limits: Limits, start: Instant) -> Self {
@@ -78,7 +62,7 @@
             own: None,
             calls: Calls::new(limits, start),
             penalty_end: Instant::ZERO,
-            call: None,
+            step: None,
             must_read_latest: true,
             next_read: Instant::ZERO,
             retry_at: Instant::ZERO,
@@ -110,8 +94,8 @@
     /// Returns when [`Event::Tick`] is due.
     pub fn deadline(&self) -> Option<Instant> {
         let end = self.begun.and(self.holder.expires_at());
-        let action = self.next_action().filter(|_| self.call.is_none());
-        action.map(|(at, _)| at).into_iter().chain(end).min()
+        let step = self.next_step().filter(|_| self.step.is_none());
+        step.map(|(at, _)| at).into_iter().chain(end).min()
     }
 
     /// Returns the fencing number with which a call may begin now, or `None` if none may.
@@ -174,7 +158,7 @@
     }
 
     fn read(&mut self, now: Instant, result: Result<Option<(Version, Lease)>, Failure>) {
-        let is_latest = matches!(self.call.take(), Some(Call::Read { is_latest: true }));
+        let is_latest = self.step.take() == Some(Step::ReadLatest);
         self.next_read = now + self.limits.term / READS_PER_TERM;
         let Ok(found) = result else {
             let is_holder = self.own.is_some();
@@ -226,43 +210,34 @@
     }
 
     fn written(&mut self, now: Instant, result: Result<Version, Failure>) {
-        let Some(call) = self.call.take() else {
+        let Some(step) = self.step.take() else {
             return;
         };
         let version = match result {
             Ok(version) => version,
-            Err(Failure::Refused) => {
-                self.retry_at = now + self.limits.term / RETRIES_PER_TERM;
-                return;
-            }
-            // Another process has written the object, or this write may have taken effect.
-            Err(Failure::Conflict | Failure::Missing | Failure::Lost) => {
+            Err(error) => {
+                // Another process has written the object, or this write may have taken effect.
                 self.must_read_latest = true;
+                if matches!(error, Failure::Lost | Failure::Refused) {
+                    self.retry_at = now + self.limits.term / RETRIES_PER_TERM;
+                }
                 return;
             }
         };
-        match call {
-            Call::Read { .. } => {}
-            Call::Take(lease) => {
+        let lease = self.identity.last_lease().cloned();
+        self.observer.observe(now, lease.map(|lease| (version, lease)));
+        match step {
+            Step::ReadLatest | Step::ReadStale => {}
+            Step::Take | Step::Renew => {
                 self.holder.renewed(version);
-                self.observer.observe(now, Some((version, lease)));
-                let release = None;
                 self.own = Some(Own {
-                    number: version,
+                    number: self.own.map_or(version, |own| own.number),
                     version,
-                    release,
+                    release: self.own.and_then(|own| own.release),
                 });
             }
-            Call::Renew(lease) => {
-                self.holder.renewed(version);
-                self.observer.observe(now, Some((version, lease)));
-                if let Some(own) = &mut self.own {
-                    own.version = version;
-                }
-            }
-            Call::Release(lease) => {
+            Step::Release => {
                 self.lose();
-                self.observer.observe(now, Some((version, lease)));
                 self.next_read = now + self.limits.term / READS_PER_TERM;
             }
         }
@@ -282,21 +257,21 @@
         held.map(Command::Began)
     }
 
-    fn next_action(&self) -> Option<(Instant, Action)> {
-        let (at, action) = if self.must_read_latest && (self.own.is_some() || self.competes()) {
-            (Instant::ZERO, Action::ReadLatest)
+    fn next_step(&self) -> Option<(Instant, Step)> {
+        let (at, step) = if self.must_read_latest && (self.own.is_some() || self.competes()) {
+            (Instant::ZERO, Step::ReadLatest)
         } else if let Some(own) = self.own {
             match own.release {
-                Some(_) => (self.calls.end(), Action::Release),
-                None => (self.holder.renewal_due().unwrap_or_default(), Action::Renew),
+                Some(_) => (self.calls.end(), Step::Release),
+                None => (self.holder.renewal_due().unwrap_or_default(), Step::Renew),
             }
         } else if self.competes() {
             let take = self.take_at().filter(|at| *at < self.next_read);
-            take.map_or((self.next_read, Action::ReadStale), |at| (at, Action::Take))
+            take.map_or((self.next_read, Step::ReadStale), |at| (at, Step::Take))
         } else {
             return None;
         };
-        Some((at.max(self.retry_at), action))
+        Some((at.max(self.retry_at), step))
     }
 
     fn competes(&self) -> bool {
@@ -324,35 +299,30 @@
     }
 
     fn next_call(&mut self, now: Instant) -> Option<Command> {
-        let (_, action) = self.next_action().filter(|(at, _)| self.call.is_none() && now >= *at)?;
-        let own = self.own;
-        match action {
-            Action::ReadLatest | Action::ReadStale => {
-                let is_latest = matches!(action, Action::ReadLatest);
-                self.call = Some(Call::Read { is_latest });
-                Some(Command::Read { is_latest })
-            }
-            Action::Take => {
+        let (at, step) = self.next_step()?;
+        if self.step.is_some() || now < at {
+            return None;
+        }
+        let command = match step {
+            Step::ReadLatest => Command::Read { is_latest: true },
+            Step::ReadStale => Command::Read { is_latest: false },
+            Step::Take => {
                 let base = self.observer.acquirable(now)?;
                 self.holder.start_renewal(now);
-                let lease = self.identity.held_lease(None);
-                self.call = Some(Call::Take(lease.clone()));
-                Some(Command::Write(base, lease))
+                Command::Write(base, self.identity.held_lease(None))
             }
-            Action::Renew => {
-                let own = own?;
+            Step::Renew => {
+                let own = self.own?;
                 self.holder.start_renewal(now);
-                let lease = self.identity.held_lease(Some(own.number));
-                self.call = Some(Call::Renew(lease.clone()));
-                Some(Command::Write(Some(own.version), lease))
+                Command::Write(Some(own.version), self.identity.held_lease(Some(own.number)))
             }
-            Action::Release => {
-                let own = own?;
+            Step::Release => {
+                let own = self.own?;
                 self.holder.clear();
-                let lease = self.identity.released_lease(own.number);
-                self.call = Some(Call::Release(lease.clone()));
-                Some(Command::Write(Some(own.version), lease))
+                Command::Write(Some(own.version), self.identity.released_lease(own.number))
             }
-        }
+        };
+        self.step = Some(step);
+        Some(command)
     }
 }
--- a/crates/core/src/duty_identity.rs
+++ b/crates/core/src/duty_identity.rs
@@ -14,6 +14,7 @@
     process: u64,
     term: Duration,
     writes: u64,
+    last_lease: Option<Lease>,
 }
 
 impl Identity {
@@ -24,38 +25,41 @@
             process,
             term,
             writes: 0,
+            last_lease: None,
         }
     }
 
     /// Returns the next contents of a lease that this process holds. The fencing number is not known before the write that
     /// takes the lease.
     pub(crate) fn held_lease(&mut self, number: Option<Version>) -> Lease {
-        Lease {
-            holder: Some(self.entry.clone()),
-            term: self.term,
-            // All calls end before the lease does.
-            orders_end: self.term,
-            tenure: Some(self.next_tenure(number)),
-        }
+        // All calls end before the lease does.
+        self.next_lease(Some(self.entry.clone()), self.term, number)
     }
 
     /// Returns the contents of a lease that this process releases, after its calls have ended.
     pub(crate) fn released_lease(&mut self, number: Version) -> Lease {
-        Lease {
-            holder: None,
-            term: self.term,
-            orders_end: Duration::ZERO,
-            tenure: Some(self.next_tenure(Some(number))),
-        }
+        self.next_lease(None, Duration::ZERO, Some(number))
     }
 
-    fn next_tenure(&mut self, number: Option<Version>) -> Tenure {
+    fn next_lease(&mut self, holder: Option<Entry>, orders_end: Duration, number: Option<Version>) -> Lease {
         self.writes += 1;
-        Tenure {
-            process: self.process,
-            writes: self.writes,
-            number,
-        }
+        let lease = Lease {
+            holder,
+            term: self.term,
+            orders_end,
+            tenure: Some(Tenure {
+                process: self.process,
+                writes: self.writes,
+                number,
+            }),
+        };
+        self.last_lease = Some(lease.clone());
+        lease
+    }
+
+    /// Returns the contents of the last write.
+    pub(crate) fn last_lease(&self) -> Option<&Lease> {
+        self.last_lease.as_ref()
     }
 
     /// Returns the lease object if this process holds it.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -53,6 +53,7 @@
 mod duty_calls;
 mod duty_candidate;
 mod duty_identity;
+mod duty_step;
 mod error;
 mod error_wrapper;
 pub mod generation;
