--- a/crates/core/src/duty.rs
+++ b/crates/core/src/duty.rs
@@ -11,6 +11,13 @@
 
 pub use crate::duty_candidate::Candidate;
 
+/// The number of terms for which a host that released the lease because of a fault leaves it to others.
+const PENALTY_TERMS: u32 = 2;
+/// The number of reads of another candidate in a term.
+const READS_PER_TERM: u32 = 3;
+/// The number of retries of the holder in a term.
+const RETRIES_PER_TERM: u32 = 10;
+
 /// Time limits of the lease and of calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
@@ -20,6 +27,20 @@
     pub call_timeout: Duration,
 }
 
+impl Limits {
+    pub(crate) fn penalty(&self) -> Duration {
+        self.term * PENALTY_TERMS
+    }
+
+    pub(crate) fn read_interval(&self) -> Duration {
+        self.term / READS_PER_TERM
+    }
+
+    pub(crate) fn retry_delay(&self) -> Duration {
+        self.term / RETRIES_PER_TERM
+    }
+}
+
 /// Whether a host should hold the lease.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Eligibility {
@@ -34,6 +55,12 @@
     Stopping,
 }
 
+impl Eligibility {
+    pub(crate) fn competes(self) -> bool {
+        matches!(self, Self::Eligible | Self::Isolated)
+    }
+}
+
 /// Input of a [`Candidate`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Event {
--- a/crates/core/src/duty_candidate.rs
+++ b/crates/core/src/duty_candidate.rs
@@ -6,18 +6,13 @@
 use crate::duty::{Command, Eligibility, Event, Limits, Reason};
 use crate::duty_calls::Calls;
 use crate::duty_identity::{Found, Identity};
+use crate::duty_own::Own;
+use crate::duty_report::Report;
 use crate::duty_step::Step;
 use crate::id::Entry;
 use crate::lease::{Holder, Lease, Observer, lengthen_for_drift};
 use crate::platform::{Failure, Version};
 
-/// The number of terms for which a host that released the lease because of a fault leaves it to others.
-const PENALTY_TERMS: u32 = 2;
-/// The fraction of the term after which a failed call to the store is repeated by the holder.
-const RETRIES_PER_TERM: u32 = 10;
-/// The number of reads by other candidates, and of renewals, in a term.
-const READS_PER_TERM: u32 = 3;
-
 /// Competes for the lease, keeps it, and decides whether a call may begin.
 ///
 /// The time that is passed in has to include the time for which the machine was suspended.
@@ -38,16 +33,7 @@
     must_read_latest: bool,
     next_read: Instant,
     retry_at: Instant,
-    /// The fencing number of the last [`Command::Began`] that has not ended.
-    begun: Option<Version>,
-    end_reason: Reason,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Own {
-    number: Version,
-    version: Version,
-    release: Option<Reason>,
+    report: Report,
 }
 
 impl Candidate {
@@ -66,8 +52,7 @@
             must_read_latest: true,
             next_read: Instant::ZERO,
             retry_at: Instant::ZERO,
-            begun: None,
-            end_reason: Reason::Expired,
+            report: Report::default(),
         }
     }
 
@@ -81,19 +66,19 @@
             Event::CallEnded(is_answered) => self.calls.finish(now, is_answered),
             Event::ClockJumped => {
                 self.holder.clear();
-                self.end_reason = Reason::Paused;
+                self.report.set_reason(Reason::Paused);
             }
             Event::Tick => {}
         }
         self.release_if_due(now);
-        let change = self.change(now);
+        let change = self.report.update(self.held_number(now));
         let call = self.next_call(now);
         change.into_iter().chain(call).collect()
     }
 
     /// Returns when [`Event::Tick`] is due.
     pub fn deadline(&self) -> Option<Instant> {
-        let end = self.begun.and(self.holder.expires_at());
+        let end = self.report.begun().and(self.holder.expires_at());
         let step = self.next_step().filter(|_| self.step.is_none());
         step.map(|(at, _)| at).into_iter().chain(end).min()
     }
@@ -121,7 +106,7 @@
 
     /// Returns when the last renewal of this host was sent; `None` if it does not hold the lease.
     pub fn renewed_at(&self) -> Option<Instant> {
-        self.begun.and(self.holder.renewed_at())
+        self.report.begun().and(self.holder.renewed_at())
     }
 
     fn set_eligibility(&mut self, now: Instant, eligibility: Eligibility) {
@@ -132,7 +117,7 @@
         match eligibility {
             // What was read before may be long outdated.
             Eligibility::Eligible => self.must_read_latest |= before != Eligibility::Isolated,
-            Eligibility::Isolated => self.penalty_end = now + self.limits.term * PENALTY_TERMS,
+            Eligibility::Isolated => self.penalty_end = now + self.limits.penalty(),
             Eligibility::Ineligible | Eligibility::Stopping => {}
         }
     }
@@ -150,20 +135,21 @@
             Eligibility::Eligible | Eligibility::Isolated => return,
         };
         if reason == Reason::Unreachable {
-            self.penalty_end = now + self.limits.term * PENALTY_TERMS;
+            self.penalty_end = now + self.limits.penalty();
         }
         own.release = Some(reason);
-        self.end_reason = reason;
+        self.report.set_reason(reason);
         self.calls.forget_unanswered();
     }
 
     fn read(&mut self, now: Instant, result: Result<Option<(Version, Lease)>, Failure>) {
         let is_latest = self.step.take() == Some(Step::ReadLatest);
-        self.next_read = now + self.limits.term / READS_PER_TERM;
+        self.next_read = now + self.limits.read_interval();
         let Ok(found) = result else {
-            let is_holder = self.own.is_some();
-            let retries = if is_holder { RETRIES_PER_TERM } else { READS_PER_TERM };
-            self.retry_at = now + self.limits.term / retries;
+            let delay = self
+                .own
+                .map_or(self.limits.read_interval(), |_| self.limits.retry_delay());
+            self.retry_at = now + delay;
             return;
         };
         if is_latest {
@@ -186,17 +172,21 @@
             // The term is counted from before the write was sent, as if the answer had arrived.
             self.holder.renewed(found.version);
         }
+        self.hold(found.number, found.version);
+    }
+
+    fn hold(&mut self, number: Version, version: Version) {
         let release = self.own.and_then(|own| own.release);
         self.own = Some(Own {
-            number: found.number,
-            version: found.version,
+            number,
+            version,
             release,
         });
     }
 
     fn lose(&mut self) {
         if self.own.take().is_some_and(|own| own.release.is_none()) {
-            self.end_reason = Reason::Replaced;
+            self.report.set_reason(Reason::Replaced);
         }
         self.holder.clear();
     }
@@ -219,7 +209,7 @@
                 // Another process has written the object, or this write may have taken effect.
                 self.must_read_latest = true;
                 if matches!(error, Failure::Lost | Failure::Refused) {
-                    self.retry_at = now + self.limits.term / RETRIES_PER_TERM;
+                    self.retry_at = now + self.limits.retry_delay();
                 }
                 return;
             }
@@ -230,42 +220,30 @@
             Step::ReadLatest | Step::ReadStale => {}
             Step::Take | Step::Renew => {
                 self.holder.renewed(version);
-                self.own = Some(Own {
-                    number: self.own.map_or(version, |own| own.number),
-                    version,
-                    release: self.own.and_then(|own| own.release),
-                });
+                self.hold(self.own.map_or(version, |own| own.number), version);
             }
             Step::Release => {
                 self.lose();
-                self.next_read = now + self.limits.term / READS_PER_TERM;
+                self.next_read = now + self.limits.read_interval();
             }
         }
     }
 
-    fn change(&mut self, now: Instant) -> Option<Command> {
-        let own = self.own.filter(|own| own.release.is_none());
-        let held = own.filter(|_| self.holder.fencing(now).is_some()).map(|own| own.number);
-        if held == self.begun {
-            return None;
-        }
-        let reason = std::mem::replace(&mut self.end_reason, Reason::Expired);
-        if let Some(number) = self.begun.take() {
-            return Some(Command::Ended(number, reason));
-        }
-        self.begun = held;
-        held.map(Command::Began)
+    /// Returns the fencing number while this process holds the lease and has not decided to release it.
+    fn held_number(&self, now: Instant) -> Option<Version> {
+        let own = self.own.filter(|own| own.release.is_none())?;
+        self.holder.fencing(now).map(|_version| own.number)
     }
 
     fn next_step(&self) -> Option<(Instant, Step)> {
-        let (at, step) = if self.must_read_latest && (self.own.is_some() || self.competes()) {
+        let (at, step) = if self.must_read_latest && (self.own.is_some() || self.eligibility.competes()) {
             (Instant::ZERO, Step::ReadLatest)
         } else if let Some(own) = self.own {
             match own.release {
                 Some(_) => (self.calls.end(), Step::Release),
                 None => (self.holder.renewal_due().unwrap_or_default(), Step::Renew),
             }
-        } else if self.competes() {
+        } else if self.eligibility.competes() {
             let take = self.take_at().filter(|at| *at < self.next_read);
             take.map_or((self.next_read, Step::ReadStale), |at| (at, Step::Take))
         } else {
@@ -274,22 +252,15 @@
         Some((at.max(self.retry_at), step))
     }
 
-    fn competes(&self) -> bool {
-        matches!(self.eligibility, Eligibility::Eligible | Eligibility::Isolated)
-    }
-
     /// Returns when this host takes the lease unless it is renewed. The lease is of no use before the host may act.
     fn take_at(&self) -> Option<Instant> {
         let expires_at = self.observer.expires_at()?;
         let isolation = match self.eligibility {
-            Eligibility::Isolated => self.limits.term * PENALTY_TERMS,
+            Eligibility::Isolated => self.limits.penalty(),
             _ => Duration::ZERO,
         };
         // An object that does not exist may have been deleted while another host held the lease.
-        let deletion = match self.observer.lease() {
-            Some(_) => Duration::ZERO,
-            None => self.limits.term,
-        };
+        let deletion = self.observer.lease().map_or(self.limits.term, |_| Duration::ZERO);
         let ready_at = self.calls.ready_at(None);
         Some(
             (expires_at + lengthen_for_drift(isolation + deletion))
@@ -304,8 +275,9 @@
             return None;
         }
         let command = match step {
-            Step::ReadLatest => Command::Read { is_latest: true },
-            Step::ReadStale => Command::Read { is_latest: false },
+            Step::ReadLatest | Step::ReadStale => Command::Read {
+                is_latest: step == Step::ReadLatest,
+            },
             Step::Take => {
                 let base = self.observer.acquirable(now)?;
                 self.holder.start_renewal(now);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -53,6 +53,8 @@
 mod duty_calls;
 mod duty_candidate;
 mod duty_identity;
+mod duty_own;
+mod duty_report;
 mod duty_step;
 mod error;
 mod error_wrapper;
