Do not take the lease of the duties while handing over to other watchers

A host now takes the lease only while its peers expect it to watch the store; a holder keeps it through the handover.

--- a/crates/gateway/src/duty/runner.rs
+++ b/crates/gateway/src/duty/runner.rs
@@ -84,9 +84,15 @@
             1
         };
         self.isolation.record(gateway.now(), hosts);
+        let renewal_age = |duties: &State| duties.renewal_age(gateway.lease_now());
+        // A host that is about to hand over to other watchers does not take the lease any more.
+        let is_candidate = match gateway.duties().and_then(renewal_age) {
+            Some(_) => gateway.is_watcher(),
+            None => gateway.is_chosen_watcher(),
+        };
         if gateway.phase() != Phase::Running {
             Eligibility::Stopping
-        } else if !gateway.is_watcher() {
+        } else if !is_candidate {
             Eligibility::Ineligible
         } else if self.isolation.is_isolated() {
             Eligibility::Isolated
--- a/crates/gateway/src/gateway/watcher.rs
+++ b/crates/gateway/src/gateway/watcher.rs
@@ -31,6 +31,11 @@
         is_handing_over || now < self.deputy_until.get()
     }
 
+    /// Returns whether this host is among the watchers that its peers expect, without the time of a handover to others.
+    pub(crate) fn is_chosen_watcher(&self) -> bool {
+        self.peers.is_watcher() || self.now() < self.deputy_until.get()
+    }
+
     /// Lets this host watch the store for its peers for some time, because the watchers send no updates.
     pub(crate) fn become_deputy(&self) {
         let duration = DEPUTY_TIME.mul_f64(1.0 + rand::random::<f64>());
