Probe a silent engine less often the longer its host answers

While a stream waits, a new connection to its engine told every 300 ms (180 ms between events) whether the host answers. The next probe now comes after half of the silence so far, at least the interval, so that a dead host is still found within half of the time already waited.

--- a/crates/gateway/src/silence.rs
+++ b/crates/gateway/src/silence.rs
@@ -36,6 +36,12 @@
         (self.since + self.timeout).since(now)
     }
 
+    /// Returns the time until the next probe. A host that answered the earlier ones is probed less often the longer the
+    /// silence lasts, as each probe opens a connection.
+    pub fn next_probe(&self, now: Instant, interval: Duration) -> Duration {
+        interval.max(now.since(self.started) / 2)
+    }
+
     /// Applies the finding of a probe and returns the stall that it proves. Silence while no host responds says nothing
     /// about the engine and is not counted, for three seconds at most.
     pub fn record(&mut self, now: Instant, finding: Finding) -> Option<Stall> {
--- a/crates/gateway/src/stall.rs
+++ b/crates/gateway/src/stall.rs
@@ -96,11 +96,12 @@
                 return Err(Stall::Slow);
             }
             let is_suspect = gateway.fleet().borrow().is_suspect(gateway.now(), &target.id);
-            let wait = if is_suspect {
+            let interval = if is_suspect {
                 SUSPECT_PROBE_INTERVAL
             } else {
                 self.probe_interval
             };
+            let wait = silence.next_probe(now, interval);
             if let Some(output) = gateway.timer().timeout(wait.min(limit), future.as_mut()).await {
                 return Ok(output);
             }
--- a/crates/gateway/tests/silence.rs
+++ b/crates/gateway/tests/silence.rs
@@ -35,6 +35,21 @@
     }
 }
 
+/// Prompts wait at engines for 20 s. Guards against a new connection to each engine several times a second, and against a
+/// crash of its host that is found out late.
+#[test]
+fn a_long_silence_is_probed_less_often() {
+    let silence = Silence::start(Instant::ZERO, TIMEOUT);
+    let (mut now, mut probes) = (Instant::ZERO, 0);
+    while now < Instant::from_millis(20_000) {
+        let wait = silence.next_probe(now, PROBE_INTERVAL);
+        assert!(wait <= PROBE_INTERVAL.max(now.since(Instant::ZERO) / 2));
+        now = now + wait;
+        probes += 1;
+    }
+    assert!(probes <= 14, "{probes}");
+}
+
 /// Guards against an engine that accepts connections and never responds, and against one whose host is down.
 #[test]
 fn silence_of_an_engine_alone_is_a_stall() {
