Keep connections to targets, divide their number, and refuse what was sent to no target

Callers got 502 or 504 for requests that no target had received, and could not try an action again. Each attempt opened a connection; the hosts together exceeded what targets accept, targets reset the rest after they had accepted it, and the reset after the write looked like a broken exchange.

The connection records whether a byte of the request was written. If none was, the request goes to another target without a retry from the budget or is refused with 503. A new connection to a target with a known limit rests for two connect times before the first byte, so that a reset is seen before the request is written; the target is then avoided like one that refuses, and not reported as failed. Each host uses its share of max-connections, and a target without room is passed over. Connections are kept after complete responses that name their request; a request that may not be repeated uses one only in the first quarter of the stated idle timeout, 2 s at most.

Ruled out: a strict preference for targets with a kept connection. Each host then keeps to one target, and a target that returns gets no work (eleven tests of endless responses and three of signals failed); the preference is now a part of the random addition to the cost.

--- a/crates/gateway/src/availability.rs
+++ b/crates/gateway/src/availability.rs
@@ -23,6 +23,8 @@
     Available,
     /// It may when no other target can, until this time.
     Suspect(Instant),
+    /// It may not before a request ends, because this host uses its share of the target's connections.
+    Full,
     /// It may not before this time, because it asked for a pause.
     Paused(Instant),
     /// It never may again, because it is leaving or another incarnation has its address.
@@ -42,18 +44,22 @@
 }
 
 impl State {
-    /// Returns whether the target may take new work, given its own announcement and the suspicion of its data centre.
+    /// Returns whether the target may take new work, given its own announcement, the suspicion of its data centre and
+    /// whether there is room for a connection.
     pub(crate) fn availability(
         &self,
         now: Instant,
         is_leaving: bool,
         data_centre_suspect_until: Instant,
+        has_room: bool,
     ) -> Availability {
         let suspect_until = self.suspect_until.max(data_centre_suspect_until);
         if self.is_replaced || is_leaving {
             Availability::Gone
         } else if now < self.paused_until {
             Availability::Paused(self.paused_until)
+        } else if !has_room {
+            Availability::Full
         } else if now < suspect_until {
             Availability::Suspect(suspect_until)
         } else {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -12,6 +12,7 @@
 
 use crate::body::Body;
 use crate::config::Kind;
+use crate::connections::{self, Lease, Reuse};
 use crate::dialect::Dispatch;
 use crate::duration::millis;
 use crate::duration::shorter;
@@ -23,7 +24,6 @@
 use crate::job::Job;
 use crate::load::Load;
 use crate::outbound::{Connection, Failure};
-use crate::reachability;
 use crate::reply::{self, Verdict};
 use crate::response;
 use crate::target::Target;
@@ -58,6 +58,16 @@
     Unknown(String),
 }
 
+impl Outcome {
+    /// The end of an attempt of which nothing was sent.
+    fn unsent(reason: String) -> Self {
+        Self::NotRun {
+            reason,
+            was_received: false,
+        }
+    }
+}
+
 /// Serves a request to a plain service.
 pub(crate) async fn run(gateway: &Rc<Gateway>, job: Job) -> Response<Body> {
     let mut exchange = Exchange {
@@ -102,6 +112,9 @@
             if self.executions == 0 && self.stops_before_response() {
                 return self.refuse(STOPPING, Duration::ZERO);
             }
+            if !self.may_end_in_time() {
+                return self.give_up("too little time is left for another attempt");
+            }
             self.attempts += 1;
             self.target.clone_from(&target.id);
             let sent = self.gateway.now();
@@ -171,6 +184,14 @@
             && (self.is_retry_reserved.take() || self.gateway.try_retry(&self.job.service))
     }
 
+    /// Returns whether an attempt may end before the deadline, by the usual response time. A request always has the first
+    /// half of its time, because response times were learned under another load.
+    fn may_end_in_time(&self) -> bool {
+        let half = self.job.deadline.since(self.job.started) / 2;
+        let usual = self.gateway.usual_response_time(&self.job.service).unwrap_or_default();
+        self.job.time_left(self.gateway) >= usual.min(half)
+    }
+
     /// Returns whether a slow target may be given up, and reserves the retry at another one for that. Without another
     /// target, a retry or the time for one, its late response is better than none.
     fn may_give_up(&self, target: &Target) -> bool {
@@ -199,34 +220,30 @@
 
     async fn attempt(&self, target: &Rc<Target>) -> Outcome {
         let _reservation = self.gateway.reserve(&target.id, Load::CALL);
-        let connected = Connection::open(target.address, CONNECT_TIMEOUT.min(self.job.time_left(self.gateway))).await;
-        let mut connection = match connected {
-            Ok(connection) => connection,
-            Err(error) => {
-                reachability::record_connect_failure(self.gateway, target, &error);
-                return Outcome::NotRun {
-                    reason: error.to_string(),
-                    was_received: false,
-                };
-            }
+        let connect_timeout = CONNECT_TIMEOUT.min(self.job.time_left(self.gateway));
+        let mut lease = match Lease::acquire(self.gateway, target, self.reuse(), connect_timeout).await {
+            Ok(lease) => lease,
+            Err(failure) => return Outcome::unsent(failure.to_string()),
         };
         let time_left = self.job.time_left(self.gateway);
         if time_left.is_zero() {
-            let reason = "the deadline has passed".to_owned();
-            return Outcome::NotRun {
-                reason,
-                was_received: false,
-            };
+            return Outcome::unsent("the deadline has passed".to_owned());
         }
         let limit = shorter(time_left, self.attempt_timeout());
-        let mut exchange = pin!(self.exchange(&mut connection, target, time_left));
-        let timer = self.gateway.timer();
-        let mut response = timer.timeout(limit, exchange.as_mut()).await;
-        if response.is_none() && !self.may_give_up(target) {
-            response = timer.timeout(self.job.time_left(self.gateway), exchange).await;
-        }
+        let meter = Rc::clone(lease.connection().meter());
+        let response = {
+            let mut exchange = pin!(self.exchange(lease.connection_mut(), target, time_left));
+            let timer = self.gateway.timer();
+            let mut response = timer.timeout(limit, exchange.as_mut()).await;
+            if response.is_none() && !self.may_give_up(target) {
+                response = timer.timeout(self.job.time_left(self.gateway), exchange).await;
+            }
+            response
+        };
         match response {
-            Some(Ok((head, body))) => self.classify(target, head, body),
+            Some(Ok((head, body))) => self.finish(target, lease, head, body),
+            Some(Err(failure @ Failure::Unsent { .. })) => Outcome::unsent(failure.to_string()),
+            None if !meter.has_sent() => Outcome::unsent("the request could not be sent in time".to_owned()),
             Some(Err(failure)) => {
                 self.record_outcome(target, true);
                 if let Failure::Excess { excess, .. } = failure {
@@ -271,10 +288,24 @@
         Ok((head, share.hold(body)))
     }
 
-    fn classify(&self, target: &Rc<Target>, head: Parts, body: Bytes) -> Outcome {
+    /// Returns which resting connections the request may use.
+    fn reuse(&self) -> Reuse {
+        match self.job.route.kind {
+            Kind::Idempotent => Reuse::Any,
+            Kind::NonIdempotent | Kind::Streaming => Reuse::Recent,
+        }
+    }
+
+    /// Classifies a complete response and keeps its connection if it is sound.
+    fn finish(&self, target: &Rc<Target>, lease: Lease, head: Parts, body: Bytes) -> Outcome {
         match reply::check(self.gateway, target, &self.job.metadata.id, &head) {
-            Verdict::Valid => {}
+            Verdict::Valid { is_named } => {
+                if is_named && !head.status.is_server_error() {
+                    lease.keep(connections::idle_timeout(&head.headers));
+                }
+            }
             Verdict::NotRun(reason) => {
+                lease.keep(connections::idle_timeout(&head.headers));
                 return Outcome::NotRun {
                     reason,
                     was_received: true,
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -74,6 +74,8 @@
     /// Removed targets with the time of their removal. What peers still announce about them is outdated.
     removed: HashMap<String, Instant>,
     departures: Departures,
+    /// This host's share of the connections that a target accepts, by service.
+    connection_shares: HashMap<String, u32>,
     random: SmallRng,
 }
 
@@ -87,6 +89,7 @@
             peer_loads: peer_loads::Table::default(),
             removed: HashMap::new(),
             departures: Departures::default(),
+            connection_shares: HashMap::new(),
             random: SmallRng::seed_from_u64(seed),
         }
     }
@@ -115,6 +118,7 @@
             report: None,
             failure_rate: 0.0,
             state,
+            connections: Rc::default(),
             unlisted_since: None,
             lapsed_until: None,
             target: Rc::new(target),
--- a/crates/gateway/src/fleet/usability.rs
+++ b/crates/gateway/src/fleet/usability.rs
@@ -1,10 +1,12 @@
 //! Whether targets may take work.
 
+use std::collections::HashMap;
 use std::rc::Rc;
 
 use hawthornpost_core::clock::Instant;
 
 use crate::availability::Availability;
+use crate::connections::Count;
 use crate::departures::Departure;
 use crate::member::Member;
 use crate::target::Target;
@@ -16,7 +18,9 @@
     pub fn is_usable(&self, now: Instant, id: &str) -> bool {
         let member = self.members.get(id);
         member.is_some_and(|member| {
-            let availability = member.state.availability(now, member.target.is_leaving, Instant::ZERO);
+            let availability = member
+                .state
+                .availability(now, member.target.is_leaving, Instant::ZERO, true);
             availability == Availability::Available
         })
     }
@@ -28,7 +32,11 @@
 
     pub(super) fn member_availability(&self, now: Instant, member: &Member) -> Availability {
         let suspect_until = self.data_centre_suspect_until(&member.target);
-        member.state.availability(now, member.target.is_leaving, suspect_until)
+        let share = self.connection_shares.get(&member.target.service).copied();
+        let has_room = member.connections.has_room(share);
+        member
+            .state
+            .availability(now, member.target.is_leaving, suspect_until, has_room)
     }
 
     pub(super) fn data_centre_suspect_until(&self, target: &Target) -> Instant {
@@ -46,12 +54,27 @@
             match self.member_availability(now, member) {
                 Availability::Gone => {}
                 Availability::Paused(until) => first = Some(first.map_or(until, |first: Instant| first.min(until))),
-                Availability::Available | Availability::Suspect(_) => return None,
+                Availability::Available | Availability::Full | Availability::Suspect(_) => return None,
             }
         }
         first
     }
 
+    /// Replaces this host's shares of the connections that a target accepts, by service.
+    pub fn set_connection_shares(&mut self, shares: HashMap<String, u32>) {
+        self.connection_shares = shares;
+    }
+
+    /// Returns this host's share of the connections of a target of a service; `None` if their number is not known.
+    pub fn connection_share(&self, service: &str) -> Option<u32> {
+        self.connection_shares.get(service).copied()
+    }
+
+    /// Returns the count of this host's connections to a target.
+    pub fn connections(&self, id: &str) -> Option<Rc<Count>> {
+        self.members.get(id).map(|member| Rc::clone(&member.connections))
+    }
+
     /// Pauses new work for a target that asked for it.
     pub fn pause(&mut self, id: &str, until: Instant) {
         if let Some(member) = self.members.get_mut(id) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod body_bytes;
+mod connections_share;
 mod duties;
 mod reservation;
 mod rollouts;
@@ -21,6 +22,7 @@
 use crate::budget::Budget;
 use crate::config::{Config, Limits};
 use crate::config_delta::{self, Delta};
+use crate::connections;
 use crate::dialect::Dialect;
 use crate::event::Event;
 use crate::fleet::Fleet;
@@ -51,6 +53,7 @@
     state_sender: Sender,
     table: RefCell<Rc<Table>>,
     fleet: RefCell<Fleet>,
+    connections: connections::Shared,
     fleet_revision: Cell<u64>,
     is_fleet_known: Cell<bool>,
     is_store_unreachable: Cell<bool>,
@@ -104,6 +107,7 @@
             state_sender: Sender::default(),
             table: RefCell::default(),
             fleet: RefCell::new(Fleet::new(rand::random())),
+            connections: connections::Shared::default(),
             fleet_revision: Cell::default(),
             is_fleet_known: Cell::default(),
             is_store_unreachable: Cell::default(),
@@ -269,6 +273,7 @@
     /// Counts a request for a service, which adds to its retry budget.
     pub(crate) fn record_request(&self, service: &str) {
         self.budget.borrow_mut().record_request(self.now(), service);
+        self.update_connection_shares();
     }
 
     /// Takes a retry from the budget of a service; returns whether there was one.
@@ -313,6 +318,11 @@
         self.response_times.borrow_mut().record(service, took);
     }
 
+    /// Returns the mean time from a request for a service to its response; `None` before the first response.
+    pub(crate) fn usual_response_time(&self, service: &str) -> Option<Duration> {
+        self.response_times.borrow().mean(service)
+    }
+
     /// Returns whether this process stops before a request for a service is expected to be answered. `objective` is
     /// expected before the first response.
     pub(crate) fn stops_before_response(&self, service: &str, objective: Duration) -> bool {
--- a/crates/gateway/src/gateway/targets.rs
+++ b/crates/gateway/src/gateway/targets.rs
@@ -24,6 +24,7 @@
     pub(crate) fn suspect(&self, target: &Target, reason: &str) {
         let was_usable = self.fleet.borrow().is_usable(self.now(), &target.id);
         let whole_data_centre = self.fleet.borrow_mut().suspect(self.now(), &target.id);
+        self.connections.remove(&target.id);
         if was_usable {
             self.peers.broadcast_suspect(&target.id);
         }
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -65,13 +65,15 @@
     Memory,
 }
 
-/// The received part of the current response of a connection, and its limits.
+/// The received part of the current response of a connection, and its limits; whether its request was sent.
 #[derive(Debug)]
 pub(crate) struct Meter {
     limits: Cell<Limits>,
     has_head: Cell<bool>,
     bytes: Cell<usize>,
     first_at: Cell<Option<Instant>>,
+    /// Whether a byte of the current request was written.
+    has_sent: Cell<bool>,
 }
 
 /// A connection whose responses are limited.
@@ -139,6 +141,7 @@
             has_head: Cell::default(),
             bytes: Cell::default(),
             first_at: Cell::default(),
+            has_sent: Cell::default(),
         }
     }
 
@@ -147,6 +150,18 @@
         self.has_head.set(false);
         self.bytes.set(0);
         self.first_at.set(None);
+        self.has_sent.set(false);
+    }
+
+    /// Returns whether a byte of the current request was written to the connection, so that it may run.
+    pub(crate) fn has_sent(&self) -> bool {
+        self.has_sent.get()
+    }
+
+    fn record_sent(&self, written: &Poll<io::Result<usize>>) {
+        if matches!(written, Poll::Ready(Ok(bytes)) if *bytes > 0) {
+            self.has_sent.set(true);
+        }
     }
 
     /// Records that the head of the response is complete.
@@ -211,7 +226,9 @@
 
 impl AsyncWrite for Stream {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.meter.record_sent(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -219,7 +236,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.meter.record_sent(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`config`] | a version of the configuration |
 //! | [`config_delta`] | difference between two versions of the configuration |
 //! | [`config_history`] | recent changes of the configuration |
+//! | [`connections`] | connections to targets: their number, and those that are kept |
 //! | [`departures`] | targets that announced that they are leaving |
 //! | [`dialect`] | request and response headers of the platform |
 //! | [`dissemination`] | relays in other data centres |
@@ -60,6 +61,7 @@
 pub mod config_delta;
 pub mod config_history;
 mod connection_guard;
+pub mod connections;
 mod datagram;
 pub mod departures;
 pub mod dialect;
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -6,6 +6,7 @@
 use hawthornpost_core::clock::Instant;
 
 use crate::availability::State;
+use crate::connections::Count;
 use crate::fleet::{Criteria, Need, Report};
 use crate::load::Load;
 use crate::target::Target;
@@ -18,6 +19,9 @@
 const RUNNING_STREAM_COST_MS: f64 = 40.0;
 /// The share of an engine's memory above which other engines are preferred.
 const MEMORY_HIGH_WATERMARK: f64 = 0.85;
+/// What a resting connection saves of the cost of a call, as a multiple of a target's slots: less than the random addition
+/// to the cost, so that all targets of the same load get calls and their state stays known.
+const CONNECTION_GAIN: f64 = 0.015;
 /// The cost of a target whose calls all fail, as a multiple of its slots.
 const FAILURE_PENALTY: f64 = 4.0;
 /// The cost of an engine above [`MEMORY_HIGH_WATERMARK`], in milliseconds of prefill: more than any prompt costs.
@@ -37,6 +41,8 @@
     pub failure_rate: f64,
     /// What limits the work of the target.
     pub state: State,
+    /// The connections of this host to the target.
+    pub connections: Rc<Count>,
     /// When the target was added without being listed in the store; `None` once the store lists it.
     pub unlisted_since: Option<Instant>,
     /// The deadline for a lapsed store entry to come back.
@@ -54,7 +60,12 @@
     pub(crate) fn call_cost(&self, now: Instant) -> f64 {
         let slots = f64::from(self.target.slots.max(1));
         let calls = f64::from(self.own_load.calls) + self.peer_calls(now);
-        calls / slots + self.failure_rate * FAILURE_PENALTY
+        let gain = if self.connections.resting() > 0 {
+            CONNECTION_GAIN
+        } else {
+            0.0
+        };
+        calls / slots + self.failure_rate * FAILURE_PENALTY - gain
     }
 
     /// Returns the open calls of peers according to the latest report, with a weight that decreases with its age.
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -21,6 +21,10 @@
 pub const ATTEMPTS_FAILED: &str = "hawthornpost_gateway_attempts_failed_total";
 /// Requests whose engine crashed, by whether they had received an event of it.
 pub const ENGINE_CRASHES: &str = "hawthornpost_gateway_engine_crashes_total";
+/// Connections to targets for requests, by whether they were opened, used again or refused for lack of room.
+pub const CONNECTIONS: &str = "hawthornpost_gateway_target_connections_total";
+/// Connections to targets that rest between two requests.
+pub const RESTING: &str = "hawthornpost_gateway_resting_connections";
 /// Refused requests by status.
 pub const REFUSED: &str = "hawthornpost_gateway_refused_total";
 /// Bytes of response bodies with state that were sent to or fetched from peers, by kind and direction.
@@ -62,6 +66,11 @@
         ENGINE_CRASHES,
         "requests whose engine crashed, by whether they were waiting for its first event or it was answering",
     ),
+    (
+        CONNECTIONS,
+        "connections to targets for requests, by whether they were opened, reused or refused within this host's share",
+    ),
+    (RESTING, "connections to targets that rest between two requests"),
     (REFUSED, "refused requests by status"),
     (
         STATE_BYTES,
@@ -92,6 +101,17 @@
     Fetched,
 }
 
+/// How a request got its connection to a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Connection {
+    /// It was opened.
+    Opened,
+    /// It was kept after an earlier request.
+    Reused,
+    /// There was no room for another one.
+    Refused,
+}
+
 /// The interval of the recorder's upkeep; between two runs histograms keep every sample.
 pub(crate) const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
 /// The upper bounds of the histogram buckets, in seconds.
@@ -163,6 +183,16 @@
     }
 }
 
+/// Counts a connection to a target.
+pub(crate) fn record_connection(connection: Connection) {
+    let outcome = match connection {
+        Connection::Opened => "opened",
+        Connection::Reused => "reused",
+        Connection::Refused => "refused",
+    };
+    metrics::counter!(CONNECTIONS, "outcome" => outcome).increment(1);
+}
+
 /// Counts a transfer of state between this host and a peer.
 pub(crate) fn record_transfer(kind: Kind, direction: Direction, bytes: usize) {
     let direction = match direction {
@@ -193,6 +223,7 @@
     metrics::gauge!(TARGETS_REVISION).set(gateway.fleet_revision() as f64);
     metrics::gauge!(TARGETS).set(gateway.fleet().borrow().targets().count() as f64);
     metrics::gauge!(HOSTS).set(gateway.peers().live_hosts() as f64);
+    metrics::gauge!(RESTING).set(gateway.connections().resting() as f64);
     metrics::gauge!(OPEN).set(gateway.open_requests() as f64);
     metrics::gauge!(READY).set(f64::from(u8::from(gateway.is_ready())));
     RECORDER.get().map(PrometheusHandle::render).unwrap_or_default()
--- a/crates/gateway/src/outbound.rs
+++ b/crates/gateway/src/outbound.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use hawthornpost_daemon::timer::Timer;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -46,6 +47,28 @@
         /// The timeout.
         limit: Duration,
     },
+    /// This host has no room for another connection, so nothing was sent.
+    #[error(
+        "cannot connect to {address}: this host uses its share of the target's connections; raise max-connections of the service if the target accepts more"
+    )]
+    NoRoom {
+        /// The address.
+        address: SocketAddr,
+    },
+    /// The connection was closed before the request was sent.
+    #[error("{address} closed the connection before the request was sent; it has too many connections or is stopping")]
+    Reset {
+        /// The address.
+        address: SocketAddr,
+    },
+    /// The connection failed before a byte of the request was sent.
+    #[error("connection to {address} failed before the request was sent: {reason}")]
+    Unsent {
+        /// The address.
+        address: SocketAddr,
+        /// The error.
+        reason: String,
+    },
     /// The connection failed after the request may have been sent.
     #[error("connection to {address} failed: {reason}; the outcome is unknown")]
     Broken {
@@ -91,7 +114,7 @@
     ///
     /// # Errors
     ///
-    /// Fails with [`Failure::Connect`], [`Failure::Refused`] or [`Failure::ConnectTimeout`].
+    /// Fails with [`Failure::Connect`], [`Failure::Refused`], [`Failure::Reset`] or [`Failure::ConnectTimeout`].
     pub async fn open(address: SocketAddr, connect_timeout: Duration) -> Result<Self, Failure> {
         let failed = |reason: String| Failure::Connect { address, reason };
         let connected = timeout(connect_timeout, TcpStream::connect(address)).await;
@@ -101,7 +124,8 @@
                 limit: connect_timeout,
             })?
             .map_err(|error| match error.kind() {
-                ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => Failure::Refused { address },
+                ErrorKind::ConnectionRefused => Failure::Refused { address },
+                ErrorKind::ConnectionReset => Failure::Reset { address },
                 _ => failed(error.to_string()),
             })?;
         stream.set_nodelay(true).map_err(|error| failed(error.to_string()))?;
@@ -129,6 +153,16 @@
         self.sender.is_ready()
     }
 
+    /// Waits for the end of a connection without an open request; returns whether it ended in time.
+    pub(crate) async fn closes_within(&mut self, timer: &Timer, limit: Duration) -> bool {
+        timer.timeout(limit, &mut self.driver).await.is_some()
+    }
+
+    /// Returns the meter, which knows whether a byte of the current request was sent.
+    pub(crate) fn meter(&self) -> &Rc<Meter> {
+        &self.meter
+    }
+
     /// Sets the limits of responses, which are those of plain services initially.
     pub fn set_limits(&self, limits: Limits) {
         self.meter.set_limits(limits);
@@ -138,8 +172,8 @@
     ///
     /// # Errors
     ///
-    /// Fails with [`Failure::Broken`] when the connection fails before that, and with [`Failure::Excess`] when the response
-    /// exceeds its limits or announces a body that does.
+    /// Fails with [`Failure::Unsent`] or [`Failure::Broken`] when the connection fails before that, and with
+    /// [`Failure::Excess`] when the response exceeds its limits or announces a body that does.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Failure> {
         self.meter.start();
         let response = self.sender.send_request(request).await;
@@ -176,6 +210,12 @@
         if let Some(excess) = Excess::of(error) {
             return self.excess(excess);
         }
+        if !self.meter.has_sent() {
+            return Failure::Unsent {
+                address: self.address,
+                reason: format_chain(error),
+            };
+        }
         Failure::Broken {
             address: self.address,
             reason: format_chain(error),
--- a/crates/gateway/src/reachability.rs
+++ b/crates/gateway/src/reachability.rs
@@ -58,13 +58,22 @@
     }
 }
 
-/// Records a failed connection attempt. A target that refused becomes suspect at once. One that did not respond is probed
-/// again together with other hosts, because its suspicion is reported to all entry hosts.
+/// Records a failed connection attempt. A target that refused becomes suspect at once; one that reset the connection has
+/// too many and is avoided for a while. One that did not respond is probed again together with other hosts, because its
+/// suspicion is reported to all entry hosts.
 pub(crate) fn record_connect_failure(gateway: &Rc<Gateway>, target: &Rc<Target>, failure: &Failure) {
     const REASON: &str = "cannot connect";
-    if matches!(failure, Failure::Refused { .. }) {
-        gateway.suspect(target, REASON);
-        return;
+    match failure {
+        Failure::NoRoom { .. } => return,
+        Failure::Refused { .. } => {
+            gateway.suspect(target, REASON);
+            return;
+        }
+        Failure::Reset { .. } => {
+            gateway.fleet().borrow_mut().record_refusal(gateway.now(), &target.id);
+            return;
+        }
+        _ => {}
     }
     let (gateway, target) = (Rc::clone(gateway), Rc::clone(target));
     tokio::task::spawn_local(async move {
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -15,7 +15,10 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Verdict {
     /// A valid response to this request.
-    Valid,
+    Valid {
+        /// Whether it names the request.
+        is_named: bool,
+    },
     /// The target guarantees that the request did not run.
     NotRun(String),
     /// An invalid response: it belongs to another request, is unsigned or has a content encoding.
@@ -63,7 +66,9 @@
     if is_encoded || is_unsigned {
         return Verdict::Invalid;
     }
-    Verdict::Valid
+    Verdict::Valid {
+        is_named: reply.id.is_some(),
+    }
 }
 
 /// Returns the incarnation that announces in a response that it is leaving.
--- a/crates/gateway/src/response_times.rs
+++ b/crates/gateway/src/response_times.rs
@@ -38,6 +38,12 @@
         estimate.deviation += DEVIATION_WEIGHT * (error.abs() - estimate.deviation);
     }
 
+    /// Returns the mean time to an answer; `None` before the first response.
+    pub fn mean(&self, service: &str) -> Option<Duration> {
+        let estimate = self.0.get(service)?;
+        Some(Duration::from_secs_f64(estimate.mean))
+    }
+
     /// Returns the time within which a request is expected to be answered; `None` before the first response.
     pub fn expected(&self, service: &str) -> Option<Duration> {
         let Estimate { mean, deviation } = self.0.get(service)?;
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -21,6 +21,8 @@
     limits: Limits,
     hosts: HashMap<String, HashMap<String, Rc<Route>>>,
     engines: HashMap<String, Option<Engine>>,
+    /// The maximum number of connections to a target, by service.
+    max_connections: HashMap<String, u32>,
     keys: Option<HashMap<String, Rc<Account>>>,
 }
 
@@ -32,12 +34,16 @@
             let prefixes = hosts.entry(route.host.clone()).or_default();
             prefixes.insert(route.prefix.clone(), Rc::new(route));
         }
+        let services = config.services.iter();
+        let max_connections = services.filter_map(|service| Some((service.name.clone(), service.max_connections?)));
+        let max_connections = max_connections.collect();
         let engines = config.services.into_iter();
         Self {
             version: config.version,
             limits: config.limits,
             hosts,
             engines: engines.map(|service| (service.name, service.engine)).collect(),
+            max_connections,
             keys: config.accounts.map(index_keys),
         }
     }
@@ -65,6 +71,16 @@
         self.engines.get(service).copied().flatten()
     }
 
+    /// Returns how many connections a target of a service accepts from all hosts together, if that is known.
+    pub fn max_connections(&self, service: &str) -> Option<u32> {
+        self.max_connections.get(service).copied()
+    }
+
+    /// Returns the maximum number of connections to a target, by service.
+    pub(crate) fn all_max_connections(&self) -> &HashMap<String, u32> {
+        &self.max_connections
+    }
+
     /// Returns the service with engines if there is exactly one.
     pub fn only_engine_service(&self) -> Option<&str> {
         let mut services = self.engines.iter().filter(|(_, engine)| engine.is_some());
--- a/crates/gateway/src/stream_attempt.rs
+++ b/crates/gateway/src/stream_attempt.rs
@@ -13,6 +13,7 @@
 
 use crate::backup::Backup;
 use crate::body::Body;
+use crate::connections::{self, Lease, Reuse};
 use crate::dialect::{Dispatch, Source};
 use crate::event_quota::{self, Quota};
 use crate::event_stream::{Event, Splitter};
@@ -22,7 +23,6 @@
 use crate::intake::{Excess, Limits};
 use crate::load::Load;
 use crate::outbound::{self, Connection, Failure};
-use crate::reachability;
 use crate::reply::{self, Verdict};
 use crate::stall::{Stall, Watchdog};
 use crate::stream_progress::Progress;
@@ -59,6 +59,26 @@
     Other(Response<Body>),
 }
 
+impl Outcome {
+    /// The end of an attempt of which nothing was sent.
+    fn unsent(reason: String) -> Self {
+        Self::NotRun {
+            reason,
+            was_received: false,
+        }
+    }
+}
+
+/// The response of an engine with a stream.
+struct Input {
+    lease: Lease,
+    /// Whether the response names the request.
+    is_named: bool,
+    idle_timeout: Option<Duration>,
+    headers: HeaderMap,
+    body: Incoming,
+}
+
 /// The target of an attempt.
 pub(crate) struct Attempt {
     /// The engine.
@@ -79,16 +99,14 @@
         let id = stream.job.metadata.id.clone();
         let backup = stream.choose_backup(target, need);
         let backup = backup.map(|backup| Backup::incremental(&stream.gateway, backup, &id, need));
-        let connected = Connection::open(target.address, CONNECT_TIMEOUT).await;
-        let mut connection = match connected {
-            Ok(connection) => connection,
-            Err(error) => {
-                reachability::record_connect_failure(&stream.gateway, target, &error);
-                return Outcome::NotRun {
-                    reason: error.to_string(),
-                    was_received: false,
-                };
-            }
+        let reuse = if stream.job.route.resumable {
+            Reuse::Any
+        } else {
+            Reuse::Recent
+        };
+        let mut lease = match Lease::acquire(&stream.gateway, target, reuse, CONNECT_TIMEOUT).await {
+            Ok(lease) => lease,
+            Err(failure) => return Outcome::unsent(failure.to_string()),
         };
         let dispatch = Dispatch {
             instance: &target.id,
@@ -103,7 +121,9 @@
             last_event: stream.last_event,
         };
         let request = stream.job.request(&stream.gateway, &dispatch);
+        let connection = lease.connection_mut();
         connection.set_limits(Limits::stream(event_quota::max_tokens(&stream.job.metadata)));
+        let meter = Rc::clone(connection.meter());
         let watchdog = Watchdog::for_first_event(stream.gateway.fleet().borrow().prefill_tokens(&target.id));
         let sent = stream.gateway.now();
         if !stream.output.has_begun() {
@@ -112,6 +132,10 @@
         let response = match self.wait(stream, watchdog, connection.send(request)).await {
             Ok(Ok(response)) => response,
             Ok(Err(Failure::Excess { excess, .. })) => return self.cut_off(stream, excess, sent),
+            Ok(Err(failure @ Failure::Unsent { .. })) => return Outcome::unsent(failure.to_string()),
+            Err(_) if !meter.has_sent() => {
+                return Outcome::unsent("the request could not be sent in time".to_owned());
+            }
             Ok(Err(error)) => {
                 stream.gateway.suspect(target, "the connection failed");
                 return disconnected(stream, error.to_string(), sent);
@@ -122,8 +146,8 @@
             }
         };
         let (head, body) = response.into_parts();
-        match reply::check(&stream.gateway, target, &id, &head) {
-            Verdict::Valid => {}
+        let is_named = match reply::check(&stream.gateway, target, &id, &head) {
+            Verdict::Valid { is_named } => is_named,
             Verdict::NotRun(reason) => {
                 return Outcome::NotRun {
                     reason,
@@ -137,12 +161,18 @@
                     sent,
                 );
             }
-        }
+        };
         if !head.status.is_success() || !headers::may_be_event_stream(&head.headers) {
-            return self.handle_other(stream, &connection, head, body).await;
+            return self.handle_other(stream, lease.connection(), head, body).await;
         }
-        self.forward(stream, &mut reservation, head.headers, body, sent, backup)
-            .await
+        let response = Input {
+            idle_timeout: connections::idle_timeout(&head.headers),
+            lease,
+            is_named,
+            headers: head.headers,
+            body,
+        };
+        self.forward(stream, &mut reservation, response, sent, backup).await
     }
 
     /// Waits for data of the engine. A silent engine is given up only if the stream may be resumed at another one, or
@@ -177,12 +207,18 @@
         &self,
         stream: &mut Progress,
         reservation: &mut Reservation,
-        mut headers: HeaderMap,
-        mut body: Incoming,
+        response: Input,
         sent: Instant,
         mut backup: Option<Backup>,
     ) -> Outcome {
         let target = &self.target;
+        let Input {
+            lease,
+            is_named,
+            idle_timeout,
+            mut headers,
+            mut body,
+        } = response;
         headers::strip_hop_by_hop(&mut headers);
         let mut splitter = Splitter::default();
         let mut has_event = false;
@@ -251,11 +287,13 @@
                 return self.cut_off(stream, Excess::Time, sent);
             }
             if is_end {
-                return if has_event {
-                    Outcome::Completed
-                } else {
-                    truncated(stream, sent)
-                };
+                if !has_event {
+                    return truncated(stream, sent);
+                }
+                if is_named {
+                    lease.keep(idle_timeout);
+                }
+                return Outcome::Completed;
             }
         }
     }
