Decide on the number of targets from demand, and order it as the holder of the duty

The planner counts the targets that work occupies (engines that read a prompt and the prompts behind these, streams by slots, memory), follows its mean, peak and trend, and asks for enough to bear the loss of the largest data centre. It raises the number at once and lowers it in steps of a tenth while nothing is in trouble.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -6,6 +6,7 @@
 //! that length holds more retries than allowed.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::iter;
 use std::time::Duration;
 
 use hawthornpost_core::clock::Instant;
@@ -105,6 +106,18 @@
             .collect()
     }
 
+    /// Returns the requests per second to a service by host, with `None` for this host.
+    pub fn request_rates(&mut self, now: Instant, service: &str) -> Vec<(Option<&str>, f64)> {
+        let window = self.allowance.window;
+        let own = self.counts(service).usage(now, window);
+        let rate = |usage: Usage| f64::from(usage.requests) / window.as_secs_f64().max(1.0);
+        let peers = self.peers.iter();
+        let recent = peers.filter(|(_, (last_report_at, _))| now.since(*last_report_at) < PEER_TIMEOUT);
+        let of_peers =
+            recent.filter_map(|(name, (_, services))| Some((Some(name.as_str()), rate(*services.get(service)?))));
+        iter::once((None, rate(own))).chain(of_peers).collect()
+    }
+
     /// Returns whether a request may be retried, and counts the retry if so.
     #[must_use = "a retry that is not allowed must not be sent"]
     pub fn try_retry(&mut self, now: Instant, service: &str, hosts: usize) -> bool {
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -135,6 +135,12 @@
     972 Info TargetPaused { target: &'a str, pause_ms: u64, asked: &'a str }
     /// A target sent a response or a refusal that does not name the request on its connection.
     973 Warn ForeignResponse { request: &'a str, target: &'a str, names: &'a str, status: u16 }
+    /// The number of targets of a service in a data centre was ordered.
+    985 Info TargetsOrdered { service: &'a str, data_centre: &'a str, targets: u32, before: u32, present: u32, reason: &'a str, demand: f64, peak: f64, forecast: f64, fence: u64, outcome: &'a str }
+    /// Whether the holder of the duty orders targets has changed.
+    986 Info OrdersHeld { reason: &'a str }
+    /// The bounds on the number of targets of a service cannot be used.
+    987 Warn BoundsInvalid { service: &'a str, error: &'a str }
 }
 
 thread_local! {
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -2,6 +2,7 @@
 
 mod choice;
 mod loads;
+mod occupancy;
 mod usability;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -313,6 +313,11 @@
         self.response_times.borrow_mut().record(service, took);
     }
 
+    /// Returns the time within which a request for a service is expected to be answered, by the responses to this host.
+    pub(crate) fn expected_response_time(&self, service: &str) -> Option<Duration> {
+        self.response_times.borrow().expected(service)
+    }
+
     /// Returns whether this process stops before a request for a service is expected to be answered. `objective` is
     /// expected before the first response.
     pub(crate) fn stops_before_response(&self, service: &str, objective: Duration) -> bool {
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -41,6 +41,12 @@
 pub const OPEN: &str = "hawthornpost_gateway_open_requests";
 /// Whether this host accepts new requests.
 pub const READY: &str = "hawthornpost_gateway_ready";
+/// Accepted orders for targets, by reason.
+pub const ORDERS: &str = "hawthornpost_gateway_target_orders_total";
+/// Targets that the holder of the duty ordered last, by service and data centre.
+pub const TARGETS_WANTED: &str = "hawthornpost_gateway_targets_wanted";
+/// Targets that the holder of the duty sees and that are not leaving, by service and data centre.
+pub const TARGETS_PRESENT: &str = "hawthornpost_gateway_targets_present";
 
 /// All metrics with their descriptions; a test compares them with `docs/OPERATIONS.md`.
 pub const DESCRIPTIONS: &[(&str, &str)] = &[
@@ -81,6 +87,15 @@
     (HOSTS, "live entry hosts, this one included"),
     (OPEN, "open requests"),
     (READY, "1 when this host takes new work, otherwise 0"),
+    (ORDERS, "accepted orders for targets by reason"),
+    (
+        TARGETS_WANTED,
+        "targets that this host ordered last as the holder of the duty, by service and data centre",
+    ),
+    (
+        TARGETS_PRESENT,
+        "targets that this host saw last as the holder of the duty, by service and data centre",
+    ),
 ];
 
 /// The direction of a transfer, seen from this host.
@@ -92,6 +107,9 @@
     Fetched,
 }
 
+/// The outcome of an order that the platform accepted.
+pub(crate) const OUTCOME_ACCEPTED: &str = "accepted";
+
 /// The interval of the recorder's upkeep; between two runs histograms keep every sample.
 pub(crate) const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
 /// The upper bounds of the histogram buckets, in seconds.
@@ -159,10 +177,31 @@
         Event::StreamContinued { source, .. } => {
             metrics::counter!(CONTINUED, "source" => source.to_owned()).increment(1);
         }
+        Event::TargetsOrdered {
+            service,
+            data_centre,
+            targets,
+            reason,
+            outcome: OUTCOME_ACCEPTED,
+            ..
+        } => {
+            metrics::counter!(ORDERS, "reason" => reason.to_owned()).increment(1);
+            set_targets(TARGETS_WANTED, service, data_centre, targets);
+        }
         _ => {}
     }
 }
 
+/// Sets the number of targets that the holder of the duty sees.
+pub(crate) fn set_present(service: &str, data_centre: &str, targets: u32) {
+    set_targets(TARGETS_PRESENT, service, data_centre, targets);
+}
+
+fn set_targets(name: &'static str, service: &str, data_centre: &str, targets: u32) {
+    let labels = [("service", service.to_owned()), ("data_centre", data_centre.to_owned())];
+    metrics::gauge!(name, &labels).set(f64::from(targets));
+}
+
 /// Counts a transfer of state between this host and a peer.
 pub(crate) fn record_transfer(kind: Kind, direction: Direction, bytes: usize) {
     let direction = match direction {
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -125,6 +125,12 @@
         })
     }
 
+    /// Returns whether an order moves a service to another version now.
+    pub fn is_moving(&self, service: &str) -> bool {
+        let trial = self.trials.get(service);
+        trial.is_some_and(|(trial, _)| !trial.order().state.is_final())
+    }
+
     /// Counts a new request to a service with an order and returns the versions that may take it.
     pub fn versions(&mut self, now: Instant, service: &str, hosts: impl FnOnce() -> usize) -> Option<Versions> {
         let (trial, _) = self.trials.get_mut(service)?;
