--- a/crates/gateway/src/fleet/occupancy.rs
+++ b/crates/gateway/src/fleet/occupancy.rs
@@ -10,9 +10,10 @@
 use super::Fleet;
 
 impl Fleet {
-    /// Returns the targets of a service with the load from all hosts.
+    /// Returns the targets of a service with the load from all hosts. Entries of replaced incarnations are left out.
     pub fn occupancies(&self, now: Instant, service: &str) -> Vec<Occupancy> {
-        let members = self.members.values().filter(|member| member.target.service == service);
+        let members = self.members.values();
+        let members = members.filter(|member| member.target.service == service && !member.state.is_replaced());
         let occupancies = members.map(|member| {
             let mut load = member.own_load;
             load.add(member.peer_load);
--- a/crates/gateway/src/scaling/capacity.rs
+++ b/crates/gateway/src/scaling/capacity.rs
@@ -9,16 +9,41 @@
 /// The weight of the latest sample in the usual size of a prompt.
 const PROMPT_WEIGHT: f64 = 0.1;
 
+/// The weight of the latest sample in the work per request.
+const REQUEST_WEIGHT: f64 = 0.05;
+/// How far the work may exceed what the requests usually cause before the excess counts as repeated after failures.
+const MAX_EXCESS: f64 = 1.25;
+
 /// What one target of a service does, as far as it is learned.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Capacity {
     /// The prompt tokens of an engine that reads one prompt.
     usual_prompt: Option<f64>,
+    /// The number of targets that a request per second occupies.
+    per_request: Option<f64>,
 }
 
 impl Capacity {
     /// Learns from a sample and returns the number of targets that its work occupies.
     pub fn occupied(&mut self, sample: &Sample) -> f64 {
+        let occupied = self.count(sample);
+        let requests = sample.total_requests();
+        if requests > 0.0 {
+            let per_request = self.per_request.get_or_insert(occupied / requests);
+            *per_request += REQUEST_WEIGHT * (occupied / requests - *per_request);
+        }
+        occupied
+    }
+
+    /// Returns the number of targets that the work of a sample occupies, without the work that was begun again after a
+    /// failure. The targets that bear a failure are provided for already.
+    pub fn asked_for(&mut self, sample: &Sample) -> f64 {
+        let occupied = self.count(sample);
+        let usual = self.per_request.map(|per_request| per_request * sample.total_requests());
+        usual.map_or(occupied, |usual| occupied.min(MAX_EXCESS * usual))
+    }
+
+    fn count(&mut self, sample: &Sample) -> f64 {
         match sample.memory_tokens {
             Some(memory) => self.occupied_engines(sample, memory),
             None => occupied_slots(sample),
--- a/crates/gateway/src/scaling/occupancy.rs
+++ b/crates/gateway/src/scaling/occupancy.rs
@@ -22,6 +22,6 @@
     Ready,
     /// It is suspect, refuses work, or its entry in the store has lapsed.
     Troubled,
-    /// It is leaving or was replaced.
+    /// It is leaving.
     Leaving,
 }
--- a/crates/gateway/src/scaling/place.rs
+++ b/crates/gateway/src/scaling/place.rs
@@ -29,15 +29,15 @@
 }
 
 impl Place {
-    /// Records the number of targets that are present; returns whether some were lost that no order removed.
+    /// Records the number of targets that are present; returns whether some were lost in the last seconds that no order
+    /// removed.
     pub fn record(&mut self, now: Instant, present: u32) -> bool {
         let ordered = self.order.map_or(u32::MAX, |order| order.targets);
-        let before = self.present();
         while self.recent.front().is_some_and(|(at, _)| now.since(*at) > RESTART_TIME) {
             self.recent.pop_front();
         }
         self.recent.push_back((now, present));
-        present < before.min(ordered)
+        present < self.most().min(ordered)
     }
 
     /// Records that the platform accepted an order.
@@ -55,9 +55,15 @@
         self.recent.back().map_or(0, |(_, present)| *present)
     }
 
+    /// Returns the largest number that was present in the last [`RESTART_TIME`].
+    fn most(&self) -> u32 {
+        let recent = self.recent.iter().map(|(_, present)| *present);
+        recent.max().unwrap_or_default()
+    }
+
     /// Returns the number of targets that are present or expected.
     pub fn expected(&self, now: Instant, startup: Duration) -> u32 {
-        let most = self.recent.iter().map(|(_, present)| *present).max().unwrap_or(0);
+        let most = self.most();
         match self.order {
             Some(order) if now.since(order.at) < startup + REGISTRATION_TIME => order.targets,
             Some(order) => order.targets.max(most),
@@ -69,8 +75,7 @@
     /// repetition.
     pub fn missing(&self, now: Instant, startup: Duration) -> Option<u32> {
         let order = self.order?;
-        let most = self.recent.iter().map(|(_, present)| *present).max().unwrap_or(0);
         let interval = (startup + REGISTRATION_TIME).saturating_mul(2_u32.pow(order.repeats.min(MAX_DOUBLINGS)));
-        (most < order.targets && now.since(order.at) >= interval).then_some(order.targets)
+        (self.most() < order.targets && now.since(order.at) >= interval).then_some(order.targets)
     }
 }
--- a/crates/gateway/src/scaling/planner.rs
+++ b/crates/gateway/src/scaling/planner.rs
@@ -9,15 +9,17 @@
 use crate::scaling::{Bounds, Capacity, Demand, Hold, Order, Place, Proposal, Reason, Sample, split};
 
 /// The length of the history as a multiple of the startup time. A surplus that ends sooner is not worth two changes.
-const WINDOW_STARTUPS: u32 = 3;
+const WINDOW_STARTUPS: u32 = 2;
 /// The minimum length of the history.
-const MIN_WINDOW: Duration = Duration::from_secs(15);
+const MIN_WINDOW: Duration = Duration::from_secs(10);
 /// The maximum length of the history, for services whose targets take minutes to start.
 const MAX_WINDOW: Duration = Duration::from_secs(600);
 /// The time beyond the startup by which the trend is followed: until the next decisions and for registration.
 const LEAD_MARGIN: Duration = Duration::from_secs(2);
+/// The time after trouble with targets in which the requests that it moved are still being served.
+const RECOVERY_TIME: Duration = Duration::from_secs(2);
 /// One order removes at most one in this many targets of a data centre, so that their streams find room elsewhere.
-const STEP_DIVISOR: u32 = 10;
+const STEP_DIVISOR: u32 = 5;
 /// None are removed while the surplus is less than one in this many targets (hysteresis).
 const SURPLUS_DIVISOR: u32 = 10;
 
@@ -29,7 +31,7 @@
     demand: Demand,
     places: BTreeMap<String, Place>,
     requests: BTreeMap<String, f64>,
-    /// The latest reasons against fewer targets, with the times at which they were seen.
+    /// The latest trouble that forbids fewer targets, with the time at which it was seen last.
     troubled_at: Option<(Instant, Hold)>,
     changed_at: Option<Instant>,
 }
@@ -61,31 +63,42 @@
 
     /// Records what is known of the service.
     pub fn record(&mut self, now: Instant, sample: &Sample) {
-        self.demand.record(now, self.capacity.occupied(sample));
         self.requests.clone_from(&sample.requests);
         for data_centre in sample.data_centres() {
             if !self.places.contains_key(data_centre) {
                 self.places.insert(data_centre.to_owned(), Place::default());
             }
         }
+        if let Some(trouble) = self.record_places(now, sample) {
+            self.troubled_at = Some((now, trouble));
+        }
+        let occupied = match self.recent_trouble(now) {
+            Some(Hold::Lost | Hold::Troubled) => self.capacity.asked_for(sample),
+            _ => self.capacity.occupied(sample),
+        };
+        self.demand.record(now, occupied);
+    }
+
+    /// Records the targets that are present, and returns the trouble that they are in.
+    fn record_places(&mut self, now: Instant, sample: &Sample) -> Option<Hold> {
         let mut is_lost = false;
         for (data_centre, place) in &mut self.places {
             is_lost |= place.record(now, sample.present(data_centre));
         }
-        let trouble = if is_lost {
-            Some(Hold::Lost)
-        } else if sample.has(Condition::Troubled) {
-            Some(Hold::Troubled)
-        } else if sample.is_rolling_out {
-            Some(Hold::Rollout)
-        } else if sample.has(Condition::Leaving) {
-            Some(Hold::Leaving)
-        } else {
-            None
-        };
-        if let Some(trouble) = trouble {
-            self.troubled_at = Some((now, trouble));
-        }
+        let troubles = [
+            (is_lost, Hold::Lost),
+            (sample.has(Condition::Troubled), Hold::Troubled),
+            (sample.is_rolling_out, Hold::Rollout),
+            (sample.has(Condition::Leaving), Hold::Leaving),
+        ];
+        let mut present = troubles.into_iter().filter(|(is_present, _)| *is_present);
+        present.next().map(|(_, trouble)| trouble)
+    }
+
+    /// Returns the trouble that was seen last, while requests that it moved are still being served.
+    fn recent_trouble(&self, now: Instant) -> Option<Hold> {
+        let recent = self.troubled_at.filter(|(at, _)| now.since(*at) < RECOVERY_TIME);
+        recent.map(|(_, trouble)| trouble)
     }
 
     /// Records that the platform accepted an order.
@@ -101,12 +114,10 @@
         if !self.demand.is_complete(now) {
             return Some(Hold::ShortHistory);
         }
-        let startup = self.bounds.startup();
-        if let Some((at, hold)) = self.troubled_at
-            && now.since(at) < hold_duration(hold, startup)
-        {
-            return Some(hold);
+        if let Some(trouble) = self.recent_trouble(now) {
+            return Some(trouble);
         }
+        let startup = self.bounds.startup();
         let is_recent = self.changed_at.is_some_and(|at| now.since(at) < startup / 2);
         is_recent.then_some(Hold::Changed)
     }
@@ -118,19 +129,19 @@
         let now_wanted = self.divide(self.demand.recent());
         let soon_wanted = self.divide(forecast);
         let kept = self.divide(forecast.max(self.demand.peak()));
-        let hold = self.hold(now);
+        let is_short = self.places.iter().any(|(name, place)| place.present() < kept[name.as_str()]);
+        let may_lower = !is_short && self.hold(now).is_none();
         let mut proposals = Vec::new();
         for (data_centre, place) in &self.places {
             let name = data_centre.as_str();
             let before = place.expected(now, startup);
-            let (current, soon) = (now_wanted[name], soon_wanted[name]);
-            let decision = if current > before {
-                Some((current.max(soon), Reason::Demand))
-            } else if soon > before {
-                Some((soon, Reason::Trend))
+            let decision = if now_wanted[name] > before {
+                Some((kept[name], Reason::Demand))
+            } else if soon_wanted[name] > before {
+                Some((kept[name], Reason::Trend))
             } else if let Some(missing) = place.missing(now, startup) {
-                Some((missing.min(before), Reason::Missing))
-            } else if hold.is_none() {
+                Some((missing, Reason::Missing))
+            } else if may_lower {
                 step_down(before, kept[name]).map(|targets| (targets, Reason::Surplus))
             } else {
                 None
@@ -166,15 +177,6 @@
     }
 }
 
-/// Returns for how long a reason against fewer targets lasts after it was seen last.
-fn hold_duration(hold: Hold, startup: Duration) -> Duration {
-    match hold {
-        // Targets that leave have streams that go on elsewhere at the end of their drain.
-        Hold::Leaving => startup / 2,
-        _ => startup,
-    }
-}
-
 /// Returns the next lower number of targets on the way to `kept`, if there is a surplus worth a change.
 fn step_down(before: u32, kept: u32) -> Option<u32> {
     let surplus = before.saturating_sub(kept);
--- a/crates/gateway/tests/scaling_model/service.rs
+++ b/crates/gateway/tests/scaling_model/service.rs
@@ -1,6 +1,6 @@
 //! Targets that read a prompt in a second and then produce for four, in steps of virtual time.
 
-use std::collections::BTreeMap;
+use std::collections::VecDeque;
 
 use hawthornpost_core::clock::Instant;
 use hawthornpost_gateway::load::Load;
@@ -23,6 +23,7 @@
 /// The start of the bursts, which last for ten seconds each.
 const BURSTS: [f64; 2] = [100.0, 330.0];
 const BURST_FACTOR: f64 = 1.7;
+const RATE_WINDOW: f64 = 10.0;
 const OBJECTIVE: f64 = 4.5;
 const PROMPT_TOKENS: u64 = 5200;
 const MEMORY_TOKENS: u64 = 6300;
@@ -85,6 +86,8 @@
     policy: Policy,
     targets: Vec<Target>,
     now: f64,
+    /// The arrivals of the last [`RATE_WINDOW`].
+    arrivals: VecDeque<f64>,
     result: Result,
 }
 
@@ -103,6 +106,7 @@
             day,
             policy,
             now: 0.0,
+            arrivals: VecDeque::new(),
             result: Result::default(),
         }
     }
@@ -167,6 +171,7 @@
         let mut expected = rate * STEP;
         while self.random.random::<f64>() < expected {
             self.result.requests += 1;
+            self.arrivals.push_back(self.now);
             self.place(self.now);
             expected -= 1.0;
         }
@@ -203,6 +208,7 @@
     }
 
     fn decide(&mut self) {
+        self.arrivals.retain(|at| self.now - at < RATE_WINDOW);
         let sample = self.sample();
         let now = Instant::from_millis((self.now * 1000.0) as u64);
         let busy = self.targets.iter().map(|target| target.prompts.len()).sum::<usize>();
@@ -252,7 +258,7 @@
         Sample {
             targets: targets.collect(),
             memory_tokens: Some(55_000),
-            requests: BTreeMap::new(),
+            requests: [("a".to_owned(), self.arrivals.len() as f64 / RATE_WINDOW)].into(),
             ..Sample::default()
         }
     }
