--- a/crates/gateway/src/scaling/capacity.rs
+++ b/crates/gateway/src/scaling/capacity.rs
@@ -39,7 +39,9 @@
     /// failure. The targets that bear a failure are provided for already.
     pub fn asked_for(&mut self, sample: &Sample) -> f64 {
         let occupied = self.count(sample);
-        let usual = self.per_request.map(|per_request| per_request * sample.total_requests());
+        let usual = self
+            .per_request
+            .map(|per_request| per_request * sample.total_requests());
         usual.map_or(occupied, |usual| occupied.min(MAX_EXCESS * usual))
     }
 
--- a/crates/gateway/src/scaling/planner.rs
+++ b/crates/gateway/src/scaling/planner.rs
@@ -129,7 +129,10 @@
         let now_wanted = self.divide(self.demand.recent());
         let soon_wanted = self.divide(forecast);
         let kept = self.divide(forecast.max(self.demand.peak()));
-        let is_short = self.places.iter().any(|(name, place)| place.present() < kept[name.as_str()]);
+        let is_short = self
+            .places
+            .iter()
+            .any(|(name, place)| place.present() < kept[name.as_str()]);
         let may_lower = !is_short && self.hold(now).is_none();
         let mut proposals = Vec::new();
         for (data_centre, place) in &self.places {
--- a/crates/gateway/src/scaling/runner.rs
+++ b/crates/gateway/src/scaling/runner.rs
@@ -183,7 +183,8 @@
             .timeout(self.gateway.duty_call_timeout(), call)
             .await;
         let result = result.unwrap_or_else(|| Err(Failure::Unavailable("no answer in time".to_owned())));
-        self.gateway.record_duty_call(result.is_ok());
+        let is_answered = result.as_ref().err().is_none_or(Failure::is_answer);
+        self.gateway.record_duty_call(is_answered);
         let order = &proposal.order;
         let is_accepted = result.is_ok();
         if is_accepted && let Some(planner) = self.planners.get_mut(&order.service) {
