--- a/crates/gateway/tests/scaling_model/main.rs
+++ b/crates/gateway/tests/scaling_model/main.rs
@@ -1,4 +1,9 @@
 //! Model of a service under a wave with bursts and losses: the planner against other rules, in virtual time.
+#![expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "all numbers of the model are small and not negative"
+)]
 
 mod service;
 
