--- a/crates/gateway/src/scaling/planner.rs
+++ b/crates/gateway/src/scaling/planner.rs
@@ -20,6 +20,8 @@
 const RECOVERY_TIME: Duration = Duration::from_secs(2);
 /// One order removes at most one in this many targets of a data centre, so that their streams find room elsewhere.
 const STEP_DIVISOR: u32 = 5;
+/// None are added while the shortage is at most one in this many targets, as the demand of each moment varies.
+const SHORTAGE_DIVISOR: u32 = 20;
 /// None are removed while the surplus is less than one in this many targets (hysteresis).
 const SURPLUS_DIVISOR: u32 = 10;
 
@@ -124,49 +126,52 @@
 
     /// Proposes orders for the data centres of a service.
     pub fn propose(&self, now: Instant, service: &str) -> Vec<Proposal> {
-        let startup = self.bounds.startup();
-        let forecast = self.demand.forecast(now, startup + LEAD_MARGIN);
-        let now_wanted = self.divide(self.demand.recent());
-        let soon_wanted = self.divide(forecast);
-        let kept = self.divide(forecast.max(self.demand.peak()));
-        let is_short = self
-            .places
-            .iter()
-            .any(|(name, place)| place.present() < kept[name.as_str()]);
+        let forecast = self.demand.forecast(now, self.bounds.startup() + LEAD_MARGIN);
+        let wanted = Wanted {
+            now: self.divide(self.demand.recent()),
+            soon: self.divide(forecast),
+            kept: self.divide(forecast.max(self.demand.peak())),
+        };
+        let mut places = self.places.iter();
+        let is_short = places.any(|(name, place)| place.present() < wanted.kept[name.as_str()]);
         let may_lower = !is_short && self.hold(now).is_none();
-        let mut proposals = Vec::new();
-        for (data_centre, place) in &self.places {
-            let name = data_centre.as_str();
-            let before = place.expected(now, startup);
-            let decision = if now_wanted[name] > before {
-                Some((kept[name], Reason::Demand))
-            } else if soon_wanted[name] > before {
-                Some((kept[name], Reason::Trend))
-            } else if let Some(missing) = place.missing(now, startup) {
-                Some((missing, Reason::Missing))
-            } else if may_lower {
-                step_down(before, kept[name]).map(|targets| (targets, Reason::Surplus))
-            } else {
-                None
-            };
-            let Some((targets, reason)) = decision else {
-                continue;
-            };
-            proposals.push(Proposal {
+        let decided = self.places.iter().filter_map(|(data_centre, place)| {
+            let (targets, reason) = self.decide(now, data_centre, &wanted, may_lower)?;
+            Some(Proposal {
                 order: Order {
                     service: service.to_owned(),
                     data_centre: data_centre.clone(),
                     targets,
                 },
                 reason,
-                before,
+                before: place.expected(now, self.bounds.startup()),
                 present: place.present(),
                 demand: self.demand.recent(),
                 peak: self.demand.peak(),
                 forecast,
-            });
+            })
+        });
+        decided.collect()
+    }
+
+    /// Returns the number of targets to order in a data centre, if any.
+    fn decide(&self, now: Instant, data_centre: &str, wanted: &Wanted<'_>, may_lower: bool) -> Option<(u32, Reason)> {
+        let startup = self.bounds.startup();
+        let place = self.places.get(data_centre)?;
+        let kept = wanted.kept[data_centre];
+        let before = place.expected(now, startup);
+        let tolerated = before.saturating_add(before / SHORTAGE_DIVISOR);
+        if wanted.now[data_centre] > tolerated {
+            return Some((kept, Reason::Demand));
+        }
+        if wanted.soon[data_centre] > tolerated {
+            return Some((kept, Reason::Trend));
+        }
+        if let Some(missing) = place.missing(now, startup) {
+            return Some((missing, Reason::Missing));
         }
-        proposals
+        let lower = may_lower.then(|| step_down(before, kept)).flatten();
+        lower.map(|targets| (targets, Reason::Surplus))
     }
 
     /// Returns the number of targets for a demand by data centre.
@@ -180,6 +185,16 @@
     }
 }
 
+/// The numbers of targets for a demand, by data centre.
+struct Wanted<'a> {
+    /// For the demand of the last seconds.
+    now: BTreeMap<&'a str, u32>,
+    /// For the demand when a target that is ordered now has started.
+    soon: BTreeMap<&'a str, u32>,
+    /// For the peak as well.
+    kept: BTreeMap<&'a str, u32>,
+}
+
 /// Returns the next lower number of targets on the way to `kept`, if there is a surplus worth a change.
 fn step_down(before: u32, kept: u32) -> Option<u32> {
     let surplus = before.saturating_sub(kept);
