--- a/crates/core/src/duty_candidate.rs
+++ b/crates/core/src/duty_candidate.rs
@@ -5,18 +5,14 @@
 use crate::clock::Instant;
 use crate::duty::{Command, Eligibility, Event, Limits, Reason};
 use crate::duty_calls::Calls;
-use crate::duty_identity::Identity;
+use crate::duty_identity::{Found, Identity};
+use crate::duty_own::Own;
+use crate::duty_report::Report;
+use crate::duty_step::Step;
 use crate::id::Entry;
 use crate::lease::{Holder, Lease, Observer, lengthen_for_drift};
 use crate::platform::{Failure, Version};
 
-/// The number of terms for which a host that released the lease because of a fault leaves it to others.
-const PENALTY_TERMS: u32 = 2;
-/// The fraction of the term after which a failed call to the store is repeated by the holder.
-const RETRIES_PER_TERM: u32 = 10;
-/// The number of reads by other candidates, and of renewals, in a term.
-const READS_PER_TERM: u32 = 3;
-
 /// Competes for the lease, keeps it, and decides whether a call may begin.
 ///
 /// The time that is passed in has to include the time for which the machine was suspended.
@@ -32,38 +28,12 @@
     calls: Calls,
     /// Until when this host leaves the lease to others after it released it because of a fault.
     penalty_end: Instant,
-    call: Option<Call>,
+    /// The call to the store that has not ended.
+    step: Option<Step>,
     must_read_latest: bool,
     next_read: Instant,
     retry_at: Instant,
-    /// The fencing number of the last [`Command::Began`] that has not ended.
-    begun: Option<Version>,
-    end_reason: Reason,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Own {
-    number: Version,
-    version: Version,
-    release: Option<Reason>,
-}
-
-/// A call to the store that has not ended.
-#[derive(Clone, Debug)]
-enum Call {
-    Read { is_latest: bool },
-    Take(Lease),
-    Renew(Lease),
-    Release(Lease),
-}
-
-#[derive(Clone, Copy, Debug)]
-enum Action {
-    ReadLatest,
-    ReadStale,
-    Take,
-    Renew,
-    Release,
+    report: Report,
 }
 
 impl Candidate {
@@ -78,12 +48,11 @@
             own: None,
             calls: Calls::new(limits, start),
             penalty_end: Instant::ZERO,
-            call: None,
+            step: None,
             must_read_latest: true,
             next_read: Instant::ZERO,
             retry_at: Instant::ZERO,
-            begun: None,
-            end_reason: Reason::Expired,
+            report: Report::default(),
         }
     }
 
@@ -97,21 +66,21 @@
             Event::CallEnded(is_answered) => self.calls.finish(now, is_answered),
             Event::ClockJumped => {
                 self.holder.clear();
-                self.end_reason = Reason::Paused;
+                self.report.set_reason(Reason::Paused);
             }
             Event::Tick => {}
         }
         self.release_if_due(now);
-        let change = self.change(now);
+        let change = self.report.update(self.held_number(now));
         let call = self.next_call(now);
         change.into_iter().chain(call).collect()
     }
 
     /// Returns when [`Event::Tick`] is due.
     pub fn deadline(&self) -> Option<Instant> {
-        let end = self.begun.and(self.holder.expires_at());
-        let action = self.next_action().filter(|_| self.call.is_none());
-        action.map(|(at, _)| at).into_iter().chain(end).min()
+        let end = self.report.begun().and(self.holder.expires_at());
+        let step = self.next_step().filter(|_| self.step.is_none());
+        step.map(|(at, _)| at).into_iter().chain(end).min()
     }
 
     /// Returns the fencing number with which a call may begin now, or `None` if none may.
@@ -137,7 +106,7 @@
 
     /// Returns when the last renewal of this host was sent; `None` if it does not hold the lease.
     pub fn renewed_at(&self) -> Option<Instant> {
-        self.begun.and(self.holder.renewed_at())
+        self.report.begun().and(self.holder.renewed_at())
     }
 
     fn set_eligibility(&mut self, now: Instant, eligibility: Eligibility) {
@@ -148,7 +117,7 @@
         match eligibility {
             // What was read before may be long outdated.
             Eligibility::Eligible => self.must_read_latest |= before != Eligibility::Isolated,
-            Eligibility::Isolated => self.penalty_end = now + self.limits.term * PENALTY_TERMS,
+            Eligibility::Isolated => self.penalty_end = now + self.limits.penalty(),
             Eligibility::Ineligible | Eligibility::Stopping => {}
         }
     }
@@ -166,20 +135,21 @@
             Eligibility::Eligible | Eligibility::Isolated => return,
         };
         if reason == Reason::Unreachable {
-            self.penalty_end = now + self.limits.term * PENALTY_TERMS;
+            self.penalty_end = now + self.limits.penalty();
         }
         own.release = Some(reason);
-        self.end_reason = reason;
+        self.report.set_reason(reason);
         self.calls.forget_unanswered();
     }
 
     fn read(&mut self, now: Instant, result: Result<Option<(Version, Lease)>, Failure>) {
-        let is_latest = matches!(self.call.take(), Some(Call::Read { is_latest: true }));
-        self.next_read = now + self.limits.term / READS_PER_TERM;
+        let is_latest = self.step.take() == Some(Step::ReadLatest);
+        self.next_read = now + self.limits.read_interval();
         let Ok(found) = result else {
-            let is_holder = self.own.is_some();
-            let retries = if is_holder { RETRIES_PER_TERM } else { READS_PER_TERM };
-            self.retry_at = now + self.limits.term / retries;
+            let delay = self
+                .own
+                .map_or(self.limits.read_interval(), |_| self.limits.retry_delay());
+            self.retry_at = now + delay;
             return;
         };
         if is_latest {
@@ -189,24 +159,34 @@
         if !self.observer.observe(now, found) {
             return;
         }
-        match (self.identity.find_own(&self.observer), &mut self.own) {
-            // A write of this process whose answer was lost took effect.
-            (Some((version, _)), Some(own)) => own.version = version,
-            (Some((version, number)), own @ None) => {
-                *own = Some(Own {
-                    number,
-                    version,
-                    release: None,
-                });
-            }
-            (None, Some(_)) => self.lose(),
-            (None, None) => {}
+        match self.identity.find_own(&self.observer) {
+            Some(found) => self.adopt(found),
+            None if self.own.is_some() => self.lose(),
+            None => {}
         }
     }
 
+    /// Continues from a write of this process whose answer was lost.
+    fn adopt(&mut self, found: Found) {
+        if found.is_last_write {
+            // The term is counted from before the write was sent, as if the answer had arrived.
+            self.holder.renewed(found.version);
+        }
+        self.hold(found.number, found.version);
+    }
+
+    fn hold(&mut self, number: Version, version: Version) {
+        let release = self.own.and_then(|own| own.release);
+        self.own = Some(Own {
+            number,
+            version,
+            release,
+        });
+    }
+
     fn lose(&mut self) {
         if self.own.take().is_some_and(|own| own.release.is_none()) {
-            self.end_reason = Reason::Replaced;
+            self.report.set_reason(Reason::Replaced);
         }
         self.holder.clear();
     }
@@ -220,95 +200,67 @@
     }
 
     fn written(&mut self, now: Instant, result: Result<Version, Failure>) {
-        let Some(call) = self.call.take() else {
+        let Some(step) = self.step.take() else {
             return;
         };
         let version = match result {
             Ok(version) => version,
-            Err(Failure::Refused) => {
-                self.retry_at = now + self.limits.term / RETRIES_PER_TERM;
-                return;
-            }
-            // Another process has written the object, or this write may have taken effect.
-            Err(Failure::Conflict | Failure::Missing | Failure::Lost) => {
+            Err(error) => {
+                // Another process has written the object, or this write may have taken effect.
                 self.must_read_latest = true;
+                if matches!(error, Failure::Lost | Failure::Refused) {
+                    self.retry_at = now + self.limits.retry_delay();
+                }
                 return;
             }
         };
-        match call {
-            Call::Read { .. } => {}
-            Call::Take(lease) => {
+        let lease = self.identity.last_lease().cloned();
+        self.observer.observe(now, lease.map(|lease| (version, lease)));
+        match step {
+            Step::ReadLatest | Step::ReadStale => {}
+            Step::Take | Step::Renew => {
                 self.holder.renewed(version);
-                self.observer.observe(now, Some((version, lease)));
-                let release = None;
-                self.own = Some(Own {
-                    number: version,
-                    version,
-                    release,
-                });
+                self.hold(self.own.map_or(version, |own| own.number), version);
             }
-            Call::Renew(lease) => {
-                self.holder.renewed(version);
-                self.observer.observe(now, Some((version, lease)));
-                if let Some(own) = &mut self.own {
-                    own.version = version;
-                }
-            }
-            Call::Release(lease) => {
+            Step::Release => {
                 self.lose();
-                self.observer.observe(now, Some((version, lease)));
-                self.next_read = now + self.limits.term / READS_PER_TERM;
+                self.next_read = now + self.limits.read_interval();
             }
         }
     }
 
-    fn change(&mut self, now: Instant) -> Option<Command> {
-        let own = self.own.filter(|own| own.release.is_none());
-        let held = own.filter(|_| self.holder.fencing(now).is_some()).map(|own| own.number);
-        if held == self.begun {
-            return None;
-        }
-        let reason = std::mem::replace(&mut self.end_reason, Reason::Expired);
-        if let Some(number) = self.begun.take() {
-            return Some(Command::Ended(number, reason));
-        }
-        self.begun = held;
-        held.map(Command::Began)
+    /// Returns the fencing number while this process holds the lease and has not decided to release it.
+    fn held_number(&self, now: Instant) -> Option<Version> {
+        let own = self.own.filter(|own| own.release.is_none())?;
+        self.holder.fencing(now).map(|_version| own.number)
     }
 
-    fn next_action(&self) -> Option<(Instant, Action)> {
-        let (at, action) = if self.must_read_latest && (self.own.is_some() || self.competes()) {
-            (Instant::ZERO, Action::ReadLatest)
+    fn next_step(&self) -> Option<(Instant, Step)> {
+        let (at, step) = if self.must_read_latest && (self.own.is_some() || self.eligibility.competes()) {
+            (Instant::ZERO, Step::ReadLatest)
         } else if let Some(own) = self.own {
             match own.release {
-                Some(_) => (self.calls.end(), Action::Release),
-                None => (self.holder.renewal_due().unwrap_or_default(), Action::Renew),
+                Some(_) => (self.calls.end(), Step::Release),
+                None => (self.holder.renewal_due().unwrap_or_default(), Step::Renew),
             }
-        } else if self.competes() {
+        } else if self.eligibility.competes() {
             let take = self.take_at().filter(|at| *at < self.next_read);
-            take.map_or((self.next_read, Action::ReadStale), |at| (at, Action::Take))
+            take.map_or((self.next_read, Step::ReadStale), |at| (at, Step::Take))
         } else {
             return None;
         };
-        Some((at.max(self.retry_at), action))
-    }
-
-    fn competes(&self) -> bool {
-        matches!(self.eligibility, Eligibility::Eligible | Eligibility::Isolated)
+        Some((at.max(self.retry_at), step))
     }
 
     /// Returns when this host takes the lease unless it is renewed. The lease is of no use before the host may act.
     fn take_at(&self) -> Option<Instant> {
         let expires_at = self.observer.expires_at()?;
         let isolation = match self.eligibility {
-            Eligibility::Isolated => self.limits.term * PENALTY_TERMS,
+            Eligibility::Isolated => self.limits.penalty(),
             _ => Duration::ZERO,
         };
         // An object that does not exist may have been deleted while another host held the lease.
-        let deletion = match self.observer.lease() {
-            Some(_) => Duration::ZERO,
-            None => self.limits.term,
-        };
+        let deletion = self.observer.lease().map_or(self.limits.term, |_| Duration::ZERO);
         let ready_at = self.calls.ready_at(None);
         Some(
             (expires_at + lengthen_for_drift(isolation + deletion))
@@ -318,35 +270,31 @@
     }
 
     fn next_call(&mut self, now: Instant) -> Option<Command> {
-        let (_, action) = self.next_action().filter(|(at, _)| self.call.is_none() && now >= *at)?;
-        let own = self.own;
-        match action {
-            Action::ReadLatest | Action::ReadStale => {
-                let is_latest = matches!(action, Action::ReadLatest);
-                self.call = Some(Call::Read { is_latest });
-                Some(Command::Read { is_latest })
-            }
-            Action::Take => {
+        let (at, step) = self.next_step()?;
+        if self.step.is_some() || now < at {
+            return None;
+        }
+        let command = match step {
+            Step::ReadLatest | Step::ReadStale => Command::Read {
+                is_latest: step == Step::ReadLatest,
+            },
+            Step::Take => {
                 let base = self.observer.acquirable(now)?;
                 self.holder.start_renewal(now);
-                let lease = self.identity.held_lease(None);
-                self.call = Some(Call::Take(lease.clone()));
-                Some(Command::Write(base, lease))
+                Command::Write(base, self.identity.held_lease(None))
             }
-            Action::Renew => {
-                let own = own?;
+            Step::Renew => {
+                let own = self.own?;
                 self.holder.start_renewal(now);
-                let lease = self.identity.held_lease(Some(own.number));
-                self.call = Some(Call::Renew(lease.clone()));
-                Some(Command::Write(Some(own.version), lease))
+                Command::Write(Some(own.version), self.identity.held_lease(Some(own.number)))
             }
-            Action::Release => {
-                let own = own?;
+            Step::Release => {
+                let own = self.own?;
                 self.holder.clear();
-                let lease = self.identity.released_lease(own.number);
-                self.call = Some(Call::Release(lease.clone()));
-                Some(Command::Write(Some(own.version), lease))
+                Command::Write(Some(own.version), self.identity.released_lease(own.number))
             }
-        }
+        };
+        self.step = Some(step);
+        Some(command)
     }
 }
