Count the memory of copies without the loss of a data centre

The streams of a lost data centre go on from copies, in memory that is occupied already. Demand was in fractions of 1/55,000, the memory of an engine, which ruled out prompts and slots.

--- a/crates/gateway/src/scaling/capacity.rs
+++ b/crates/gateway/src/scaling/capacity.rs
@@ -4,7 +4,7 @@
 //! number of engines that read, and of prompts that wait behind these, is the prefill work per second in units of engines,
 //! whatever the engine, the prompts and the prefix cache are. Streams and memory count by the limits of the configuration.
 
-use crate::scaling::Sample;
+use crate::scaling::{Sample, split};
 
 /// The weight of the latest sample in the usual size of a prompt.
 const PROMPT_WEIGHT: f64 = 0.1;
@@ -56,7 +56,11 @@
         let streams = sample.targets.iter().map(|target| f64::from(target.load.streams));
         let tokens = sample.targets.iter().map(|target| target.load.memory_tokens as f64);
         let by_streams = streams.sum::<f64>() / mean_slots(sample);
-        let by_memory = tokens.sum::<f64>() / memory.max(1) as f64;
+        let mut by_memory = tokens.sum::<f64>() / memory.max(1) as f64;
+        if sample.has_copies {
+            // The streams of a lost data centre go on from copies, in memory that is occupied already.
+            by_memory *= 1.0 - split::borne_loss(sample.data_centres().len());
+        }
         self.prefilling(sample).max(by_streams).max(by_memory)
     }
 
--- a/crates/gateway/src/scaling/runner.rs
+++ b/crates/gateway/src/scaling/runner.rs
@@ -131,6 +131,7 @@
         Sample {
             targets: self.gateway.fleet().borrow().occupancies(now, &service.name),
             memory_tokens: service.engine.map(|engine| engine.memory_tokens),
+            has_copies: service.engine.is_some_and(|engine| engine.backups),
             response_time: self.gateway.expected_response_time(&service.name),
             requests,
             is_rolling_out: self.gateway.rollouts().borrow().is_moving(&service.name),
--- a/crates/gateway/src/scaling/sample.rs
+++ b/crates/gateway/src/scaling/sample.rs
@@ -13,6 +13,8 @@
     pub targets: Vec<Occupancy>,
     /// The memory of an engine in tokens; `None` for a plain service.
     pub memory_tokens: Option<u64>,
+    /// Whether engines hold copies of the streams of other data centres.
+    pub has_copies: bool,
     /// The time that a request to a plain service takes; `None` if it is not known.
     pub response_time: Option<Duration>,
     /// Requests per second by the data centre of the host that received them.
--- a/crates/gateway/src/scaling/split.rs
+++ b/crates/gateway/src/scaling/split.rs
@@ -9,6 +9,14 @@
 /// The share of the targets whose loss is borne when a service runs in one data centre only.
 const BORNE_LOSS: f64 = 0.25;
 
+/// Returns the share of the targets whose loss is borne.
+pub(crate) fn borne_loss(data_centres: usize) -> f64 {
+    match data_centres {
+        0 | 1 => BORNE_LOSS,
+        count => 1.0 / count as f64,
+    }
+}
+
 /// Returns the number of targets for a demand, such that the loss of the data centre with the most targets is borne.
 #[expect(
     clippy::cast_possible_truncation,
@@ -16,11 +24,7 @@
     reason = "the conversion saturates, and demand is not negative"
 )]
 pub fn needed(demand: f64, data_centres: usize) -> u32 {
-    let lost = match data_centres {
-        0 | 1 => BORNE_LOSS,
-        count => 1.0 / count as f64,
-    };
-    let targets = demand / MAX_UTILISATION / (1.0 - lost);
+    let targets = demand / MAX_UTILISATION / (1.0 - borne_loss(data_centres));
     targets.ceil() as u32
 }
 
--- a/crates/gateway/tests/scaling.rs
+++ b/crates/gateway/tests/scaling.rs
@@ -191,6 +191,19 @@
     assert_eq!(fixture.pass(7), [], "none are removed elsewhere meanwhile");
 }
 
+/// Streams and their copies fill two thirds of the memory. Guards against targets that are ordered for the loss of a data centre
+/// although the copies already occupy what its streams need then.
+#[test_case(true, 0; "with copies")]
+#[test_case(false, 3; "without copies")]
+fn copies_bear_the_loss_of_a_data_centre(has_copies: bool, orders: usize) {
+    let mut fixture = Fixture::new(0);
+    fixture.sample.has_copies = has_copies;
+    for target in &mut fixture.sample.targets {
+        target.load = Load::stream(0, 36_000);
+    }
+    assert_eq!(fixture.pass(10).len(), orders);
+}
+
 /// Guards against orders from a host that knows too little: a new holder, one that is cut off, one with an old list.
 #[test]
 fn a_host_that_knows_too_little_orders_nothing() {
