--- a/crates/gateway/src/scaling/planner.rs
+++ b/crates/gateway/src/scaling/planner.rs
@@ -170,7 +170,11 @@
         if let Some(missing) = place.missing(now, startup) {
             return Some((missing, Reason::Missing));
         }
-        let lower = may_lower.then(|| step_down(before, kept)).flatten();
+        // Targets beyond the maximum were added by an operator, who removes them as well.
+        let is_within_bounds = before == self.bounds.clamp(before);
+        let lower = (may_lower && is_within_bounds)
+            .then(|| step_down(before, kept))
+            .flatten();
         lower.map(|targets| (targets, Reason::Surplus))
     }
 
--- a/crates/gateway/tests/scaling.rs
+++ b/crates/gateway/tests/scaling.rs
@@ -204,6 +204,16 @@
     assert_eq!(fixture.pass(10).len(), orders);
 }
 
+/// An operator has added targets beyond the maximum. Guards against orders that remove many of them under load, or that
+/// exceed the maximum, which the platform never fulfils.
+#[test]
+fn targets_beyond_the_maximum_are_left_to_the_operator() {
+    let mut fixture = Fixture::new(18);
+    fixture.sample = sample(50);
+    fixture.load(18);
+    assert_eq!(fixture.pass(30), []);
+}
+
 /// Guards against orders from a host that knows too little: a new holder, one that is cut off, one with an old list.
 #[test]
 fn a_host_that_knows_too_little_orders_nothing() {
