--- a/crates/gateway/src/fleet/occupancy.rs
+++ b/crates/gateway/src/fleet/occupancy.rs
@@ -34,7 +34,8 @@
             Availability::Available if member.lapsed_until.is_some() || member.state.is_avoided(now) => {
                 Condition::Troubled
             }
-            Availability::Available => Condition::Ready,
+            // A target without room for another connection works as well as before.
+            Availability::Available | Availability::Full => Condition::Ready,
         }
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,10 +2,12 @@
 
 mod admission;
 mod body_bytes;
+mod connections_share;
 mod duties;
 mod reservation;
 mod rollouts;
 mod targets;
+mod usage;
 mod watcher;
 
 use std::cell::{Cell, RefCell};
@@ -21,6 +23,8 @@
 use crate::budget::Budget;
 use crate::config::{Config, Limits};
 use crate::config_delta::{self, Delta};
+use crate::connections;
+use crate::deputies::Deputies;
 use crate::dialect::Dialect;
 use crate::duty;
 use crate::event::Event;
@@ -28,7 +32,7 @@
 use crate::idle_timer;
 use crate::load::Load;
 use crate::peers::Peers;
-use crate::quarantine_shared::Shared;
+use crate::quarantine_shared;
 use crate::response_memory::Pool;
 use crate::response_times::Times;
 use crate::rollouts::Rollouts;
@@ -36,6 +40,7 @@
 use crate::settings::{LimitSettings, Settings};
 use crate::state_sender::Sender;
 use crate::successor::Replacement;
+use crate::usage::Shared;
 
 pub use admission::Admission;
 pub use body_bytes::BodyBytes;
@@ -52,6 +57,7 @@
     state_sender: Sender,
     table: RefCell<Rc<Table>>,
     fleet: RefCell<Fleet>,
+    connections: connections::Shared,
     fleet_revision: Cell<u64>,
     is_fleet_known: Cell<bool>,
     is_store_unreachable: Cell<bool>,
@@ -59,6 +65,8 @@
     last_watcher_at: Cell<Option<Instant>>,
     /// Until when this host watches in place of watchers that send no updates.
     deputy_until: Cell<Instant>,
+    /// The hosts that watch in place of silent watchers.
+    deputies: RefCell<Deputies>,
     replaced: RefCell<Vec<Replacement>>,
     budget: RefCell<Budget>,
     rollouts: RefCell<Rollouts>,
@@ -66,7 +74,7 @@
     handled_pause: Cell<Option<Instant>>,
     /// Wakes the task that reads rollout orders from the store.
     orders_outdated: Notify,
-    quarantine: Shared,
+    quarantine: quarantine_shared::Shared,
     /// The lease of the duties; `None` if this deployment has none.
     duties: Option<duty::State>,
     peers: Peers,
@@ -78,6 +86,7 @@
     body_bytes: Cell<usize>,
     response_memory: Arc<Pool>,
     response_times: RefCell<Times>,
+    usage: Option<Shared>,
 }
 
 /// The lifecycle phase of the process.
@@ -107,17 +116,19 @@
             state_sender: Sender::default(),
             table: RefCell::default(),
             fleet: RefCell::new(Fleet::new(rand::random())),
+            connections: connections::Shared::default(),
             fleet_revision: Cell::default(),
             is_fleet_known: Cell::default(),
             is_store_unreachable: Cell::default(),
             last_watcher_at: Cell::default(),
             deputy_until: Cell::default(),
+            deputies: RefCell::default(),
             replaced: RefCell::default(),
             budget: RefCell::new(Budget::new(settings.limits.retries)),
             rollouts: RefCell::new(Rollouts::new(settings.rollouts, rand::random())),
             handled_pause: Cell::default(),
             orders_outdated: Notify::new(),
-            quarantine: Shared::new(),
+            quarantine: quarantine_shared::Shared::new(),
             duties: settings
                 .duties
                 .as_ref()
@@ -130,6 +141,7 @@
             body_bytes: Cell::default(),
             response_memory: Arc::default(),
             response_times: RefCell::default(),
+            usage: Shared::new(&settings),
             limits: Cell::new(settings.limits),
             settings,
         })
@@ -269,13 +281,14 @@
     }
 
     /// Returns the parts of prompts that crash engines.
-    pub(crate) fn quarantine(&self) -> &Shared {
+    pub(crate) fn quarantine(&self) -> &quarantine_shared::Shared {
         &self.quarantine
     }
 
     /// Counts a request for a service, which adds to its retry budget.
     pub(crate) fn record_request(&self, service: &str) {
         self.budget.borrow_mut().record_request(self.now(), service);
+        self.update_connection_shares();
     }
 
     /// Takes a retry from the budget of a service; returns whether there was one.
@@ -325,6 +338,11 @@
         self.response_times.borrow().expected(service)
     }
 
+    /// Returns the mean time from a request for a service to its response; `None` before the first response.
+    pub(crate) fn usual_response_time(&self, service: &str) -> Option<Duration> {
+        self.response_times.borrow().mean(service)
+    }
+
     /// Returns whether this process stops before a request for a service is expected to be answered. `objective` is
     /// expected before the first response.
     pub(crate) fn stops_before_response(&self, service: &str, objective: Duration) -> bool {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,7 +12,9 @@
 //! | [`config`] | a version of the configuration |
 //! | [`config_delta`] | difference between two versions of the configuration |
 //! | [`config_history`] | recent changes of the configuration |
+//! | [`connections`] | connections to targets: their number, and those that are kept |
 //! | [`departures`] | targets that announced that they are leaving |
+//! | [`deputies`] | hosts that watch the store in place of silent watchers |
 //! | [`dialect`] | request and response headers of the platform |
 //! | [`dissemination`] | relays in other data centres |
 //! | [`duty`] | duties that one host at a time holds |
@@ -60,8 +62,10 @@
 pub mod config_delta;
 pub mod config_history;
 mod connection_guard;
+pub mod connections;
 mod datagram;
 pub mod departures;
+pub mod deputies;
 pub mod dialect;
 mod directory;
 pub mod dissemination;
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -21,6 +21,10 @@
 pub const ATTEMPTS_FAILED: &str = "hawthornpost_gateway_attempts_failed_total";
 /// Requests whose engine crashed, by whether they had received an event of it.
 pub const ENGINE_CRASHES: &str = "hawthornpost_gateway_engine_crashes_total";
+/// Connections to targets for requests, by whether they were opened, used again or refused for lack of room.
+pub const CONNECTIONS: &str = "hawthornpost_gateway_target_connections_total";
+/// Connections to targets that rest between two requests.
+pub const RESTING: &str = "hawthornpost_gateway_resting_connections";
 /// Refused requests by status.
 pub const REFUSED: &str = "hawthornpost_gateway_refused_total";
 /// Bytes of response bodies with state that were sent to or fetched from peers, by kind and direction.
@@ -52,6 +56,11 @@
 /// Targets that the holder of the duty sees and that are not leaving, by service and data centre.
 pub const TARGETS_PRESENT: &str = "hawthornpost_gateway_targets_present";
 
+/// Windows whose usage was not reported in time.
+pub const USAGE_MISSED: &str = "hawthornpost_gateway_usage_windows_missed_total";
+/// The time from the end of the last reported window to its report.
+pub const USAGE_REPORT_AGE: &str = "hawthornpost_gateway_usage_report_age_seconds";
+
 /// All metrics with their descriptions; a test compares them with `docs/OPERATIONS.md`.
 pub const DESCRIPTIONS: &[(&str, &str)] = &[
     (REQUESTS, "requests by route, account and outcome"),
@@ -72,6 +81,11 @@
         ENGINE_CRASHES,
         "requests whose engine crashed, by whether they were waiting for its first event or it was answering",
     ),
+    (
+        CONNECTIONS,
+        "connections to targets for requests, by whether they were opened, reused or refused within this host's share",
+    ),
+    (RESTING, "connections to targets that rest between two requests"),
     (REFUSED, "refused requests by status"),
     (
         STATE_BYTES,
@@ -108,6 +122,11 @@
         TARGETS_PRESENT,
         "targets that this host saw last as the holder of the duty, by service and data centre",
     ),
+    (USAGE_MISSED, "windows whose usage was not reported in time"),
+    (
+        USAGE_REPORT_AGE,
+        "seconds from the end of the last window that this host reported to the report",
+    ),
 ];
 
 /// The direction of a transfer, seen from this host.
@@ -122,6 +141,17 @@
 /// The outcome of an order that the platform accepted.
 pub(crate) const OUTCOME_ACCEPTED: &str = "accepted";
 
+/// How a request got its connection to a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Connection {
+    /// It was opened.
+    Opened,
+    /// It was kept after an earlier request.
+    Reused,
+    /// There was no room for another one.
+    Refused,
+}
+
 /// The interval of the recorder's upkeep; between two runs histograms keep every sample.
 pub(crate) const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
 /// The upper bounds of the histogram buckets, in seconds.
@@ -214,6 +244,16 @@
     metrics::gauge!(name, &labels).set(f64::from(targets));
 }
 
+/// Counts a connection to a target.
+pub(crate) fn record_connection(connection: Connection) {
+    let outcome = match connection {
+        Connection::Opened => "opened",
+        Connection::Reused => "reused",
+        Connection::Refused => "refused",
+    };
+    metrics::counter!(CONNECTIONS, "outcome" => outcome).increment(1);
+}
+
 /// Counts a transfer of state between this host and a peer.
 pub(crate) fn record_transfer(kind: Kind, direction: Direction, bytes: usize) {
     let direction = match direction {
@@ -225,6 +265,16 @@
     metrics::counter!(STATE_BYTES, &labels).increment(bytes as u64);
 }
 
+/// Counts windows whose usage was not reported in time.
+pub(crate) fn record_missed_windows(count: u64) {
+    metrics::counter!(USAGE_MISSED).increment(count);
+}
+
+/// Records how long after the end of a window its usage was reported.
+pub(crate) fn record_report(age: Duration) {
+    metrics::gauge!(USAGE_REPORT_AGE).set(age.as_secs_f64());
+}
+
 fn count_request(route: &str, account: &str, outcome: &'static str) {
     let labels = [
         ("route", route.to_owned()),
@@ -244,6 +294,7 @@
     metrics::gauge!(TARGETS_REVISION).set(gateway.fleet_revision() as f64);
     metrics::gauge!(TARGETS).set(gateway.fleet().borrow().targets().count() as f64);
     metrics::gauge!(HOSTS).set(gateway.peers().live_hosts() as f64);
+    metrics::gauge!(RESTING).set(gateway.connections().resting() as f64);
     metrics::gauge!(OPEN).set(gateway.open_requests() as f64);
     metrics::gauge!(READY).set(f64::from(u8::from(gateway.is_ready())));
     if let Some(duties) = gateway.duties() {
