--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -147,6 +147,12 @@
     985 Warn UsageMissed { window: u64, count: u64, reason: &'a str }
     /// Counts arrived after the report of their window and were dropped.
     986 Warn UsageLate { window: u64, requests: u64 }
+    /// The number of targets of a service in a data centre was ordered.
+    987 Info TargetsOrdered { service: &'a str, data_centre: &'a str, targets: u32, before: u32, present: u32, reason: &'a str, demand: f64, peak: f64, forecast: f64, fence: u64, outcome: &'a str }
+    /// Whether the holder of the duty orders targets has changed.
+    988 Info OrdersHeld { reason: &'a str }
+    /// The bounds on the number of targets of a service cannot be used.
+    989 Warn BoundsInvalid { service: &'a str, error: &'a str }
 }
 
 thread_local! {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -333,6 +333,11 @@
         self.response_times.borrow_mut().record(service, took);
     }
 
+    /// Returns the time within which a request for a service is expected to be answered, by the responses to this host.
+    pub(crate) fn expected_response_time(&self, service: &str) -> Option<Duration> {
+        self.response_times.borrow().expected(service)
+    }
+
     /// Returns the mean time from a request for a service to its response; `None` before the first response.
     pub(crate) fn usual_response_time(&self, service: &str) -> Option<Duration> {
         self.response_times.borrow().mean(service)
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -49,6 +49,12 @@
 pub const DUTY_HOLDER: &str = "hawthornpost_gateway_duty_holder";
 /// The age of this host's last renewal of the lease of the duties.
 pub const DUTY_RENEWAL_AGE: &str = "hawthornpost_gateway_duty_renewal_age_seconds";
+/// Accepted orders for targets, by reason.
+pub const ORDERS: &str = "hawthornpost_gateway_target_orders_total";
+/// Targets that the holder of the duty ordered last, by service and data centre.
+pub const TARGETS_WANTED: &str = "hawthornpost_gateway_targets_wanted";
+/// Targets that the holder of the duty sees and that are not leaving, by service and data centre.
+pub const TARGETS_PRESENT: &str = "hawthornpost_gateway_targets_present";
 
 /// Windows whose usage was not reported in time.
 pub const USAGE_MISSED: &str = "hawthornpost_gateway_usage_windows_missed_total";
@@ -107,6 +113,15 @@
         DUTY_RENEWAL_AGE,
         "seconds since the holder sent its last renewal of the lease of the duties, on other hosts 0",
     ),
+    (ORDERS, "accepted orders for targets by reason"),
+    (
+        TARGETS_WANTED,
+        "targets that this host ordered last as the holder of the duty, by service and data centre",
+    ),
+    (
+        TARGETS_PRESENT,
+        "targets that this host saw last as the holder of the duty, by service and data centre",
+    ),
     (USAGE_MISSED, "windows whose usage was not reported in time"),
     (
         USAGE_REPORT_AGE,
@@ -123,6 +138,9 @@
     Fetched,
 }
 
+/// The outcome of an order that the platform accepted.
+pub(crate) const OUTCOME_ACCEPTED: &str = "accepted";
+
 /// How a request got its connection to a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Connection {
@@ -201,10 +219,31 @@
         Event::StreamContinued { source, .. } => {
             metrics::counter!(CONTINUED, "source" => source.to_owned()).increment(1);
         }
+        Event::TargetsOrdered {
+            service,
+            data_centre,
+            targets,
+            reason,
+            outcome: OUTCOME_ACCEPTED,
+            ..
+        } => {
+            metrics::counter!(ORDERS, "reason" => reason.to_owned()).increment(1);
+            set_targets(TARGETS_WANTED, service, data_centre, targets);
+        }
         _ => {}
     }
 }
 
+/// Sets the number of targets that the holder of the duty sees.
+pub(crate) fn set_present(service: &str, data_centre: &str, targets: u32) {
+    set_targets(TARGETS_PRESENT, service, data_centre, targets);
+}
+
+fn set_targets(name: &'static str, service: &str, data_centre: &str, targets: u32) {
+    let labels = [("service", service.to_owned()), ("data_centre", data_centre.to_owned())];
+    metrics::gauge!(name, &labels).set(f64::from(targets));
+}
+
 /// Counts a connection to a target.
 pub(crate) fn record_connection(connection: Connection) {
     let outcome = match connection {
