Keep the targets of work that outlasts trouble

Found in review; no caller was seen to suffer from it. While targets are in trouble the planner caps the work by what the arriving requests usually cause, so that repeated work adds no targets. Without new requests the cap is zero, also while long prompts and streams go on. Once the history holds only such samples and the trouble is over, the demand looks like a surplus and a fifth of the targets of each data centre is removed under load.

A longer hold after trouble is ruled out, since the history stays wrong for its whole length.

The cap is now at least the work that was there before the trouble. Work that ends still lowers the count, because the cap never raises it.

--- a/crates/gateway/src/scaling/capacity.rs
+++ b/crates/gateway/src/scaling/capacity.rs
@@ -21,12 +21,15 @@
     usual_prompt: Option<f64>,
     /// The number of targets that a request per second occupies.
     per_request: Option<f64>,
+    /// The number of targets that were occupied before the latest trouble.
+    untroubled: f64,
 }
 
 impl Capacity {
     /// Learns from a sample and returns the number of targets that its work occupies.
     pub fn occupied(&mut self, sample: &Sample) -> f64 {
         let occupied = self.count(sample);
+        self.untroubled = occupied;
         let requests = sample.total_requests();
         if requests > 0.0 {
             let per_request = self.per_request.get_or_insert(occupied / requests);
@@ -36,13 +39,16 @@
     }
 
     /// Returns the number of targets that the work of a sample occupies, without the work that was begun again after a
-    /// failure. The targets that bear a failure are provided for already.
+    /// failure. The targets that bear a failure are provided for already. Work that was there before the failure counts
+    /// also while no requests arrive, as long streams do.
     pub fn asked_for(&mut self, sample: &Sample) -> f64 {
         let occupied = self.count(sample);
         let usual = self
             .per_request
             .map(|per_request| per_request * sample.total_requests());
-        usual.map_or(occupied, |usual| occupied.min(MAX_EXCESS * usual))
+        usual.map_or(occupied, |usual| {
+            occupied.min((MAX_EXCESS * usual).max(self.untroubled))
+        })
     }
 
     fn count(&mut self, sample: &Sample) -> f64 {
--- a/crates/gateway/tests/scaling.rs
+++ b/crates/gateway/tests/scaling.rs
@@ -149,6 +149,22 @@
     assert!(has_reason(&fixture.pass(8), Reason::Surplus));
 }
 
+/// Long prompts are read, and no request arrives, while a target is in trouble. Guards against orders that take targets away
+/// from work in progress once the trouble is over.
+#[test]
+fn work_that_outlasts_trouble_keeps_its_targets() {
+    let mut fixture = Fixture::new(45);
+    fixture.sample.requests = [("a".to_owned(), 20.0)].into();
+    assert_eq!(fixture.pass(20), []);
+    fixture.sample.requests.clear();
+    fixture.sample.targets[0].condition = Condition::Troubled;
+    assert_eq!(fixture.pass(15), []);
+    fixture.sample.targets[0].condition = Condition::Ready;
+    for second in 1..=6 {
+        assert_eq!(fixture.pass(1), [], "{second} s after the trouble");
+    }
+}
+
 /// The platform accepts an order for more targets that then do not start. Guards against an order that is lost for good,
 /// and against one that is repeated all the time.
 #[test]
