Close kept connections beyond a share that shrinks

Found in review; no caller was seen to suffer from it. The share of a host shrinks as soon as more hosts appear, but connections were kept by the old share: keeping one asked only whether the share is 0, and a connection that rested stayed up to 4 s. With 4 hosts and 32 connections each host may rest 7; when 4 more appear, 28 stay open beside up to 12 of the new hosts, and the target resets what is beyond 32.

A connection whose target has more than the share is now closed instead of kept, and the periodic check closes those that rest beyond it, oldest first and only down to the share. Connections in use are left alone. Not covered: a host without requests does not observe the number of hosts and closes its resting connections only by their idle time. The rule is tested without a network; a process test with hosts that join was not made.

--- a/crates/gateway/src/connections/count.rs
+++ b/crates/gateway/src/connections/count.rs
@@ -50,6 +50,12 @@
         }
     }
 
+    /// Returns whether the connections to the target exceed this host's share, because it has shrunk. A host may always
+    /// have one.
+    pub fn exceeds(&self, share: Option<u32>) -> bool {
+        share.is_some_and(|share| self.count.used() + self.count.resting() > share.max(1))
+    }
+
     /// Counts the connection as resting or as used.
     pub fn set_resting(&mut self, is_resting: bool) {
         self.remove();
--- a/crates/gateway/src/connections/lease.rs
+++ b/crates/gateway/src/connections/lease.rs
@@ -89,7 +89,8 @@
         let target = &link.target;
         let availability = gateway.fleet().borrow().availability(gateway.now(), &target.id);
         let is_kept = matches!(availability, Some(Availability::Available | Availability::Full));
-        if !is_kept || gateway.connection_share(&target.service) == Some(0) {
+        let share = gateway.connection_share(&target.service);
+        if !is_kept || share == Some(0) || link.exceeds(share) {
             return;
         }
         link.slot.set_resting(true);
@@ -125,6 +126,11 @@
         self.connection.is_usable()
     }
 
+    /// Returns whether this host has more connections to the target than its share.
+    pub(super) fn exceeds(&self, share: Option<u32>) -> bool {
+        self.slot.exceeds(share)
+    }
+
     /// Returns whether the connection can send another request to this incarnation of its target.
     pub(super) fn is_usable_for(&self, target: &Target) -> bool {
         self.is_usable() && self.target.is_same_incarnation(target)
--- a/crates/gateway/src/connections/shared.rs
+++ b/crates/gateway/src/connections/shared.rs
@@ -93,7 +93,7 @@
         }
     }
 
-    /// Closes connections that have rested too long or whose target is gone, until none is left.
+    /// Closes connections that have rested too long, exceed the share or whose target is gone, until none is left.
     async fn close_idle(&self, gateway: &Gateway) {
         while !self.pool.borrow().is_empty() {
             gateway.timer().sleep(CLOSE_INTERVAL).await;
@@ -104,7 +104,11 @@
                 let known = fleet
                     .get(id)
                     .is_some_and(|known| known.is_same_incarnation(&link.target));
-                known && link.is_usable() && fleet.availability(now, id) != Some(Availability::Gone)
+                let share = fleet.connection_share(&link.target.service);
+                known
+                    && link.is_usable()
+                    && !link.exceeds(share)
+                    && fleet.availability(now, id) != Some(Availability::Gone)
             };
             self.pool.borrow_mut().retain(now, is_present);
         }
--- a/crates/gateway/tests/connections.rs
+++ b/crates/gateway/tests/connections.rs
@@ -130,6 +130,24 @@
     assert_eq!((count.used(), count.resting()), (0, 0));
 }
 
+/// More hosts appear while all connections rest. Guards against connections that the hosts before them keep beyond their
+/// smaller shares, for which the target resets those of the new hosts.
+#[test]
+fn connections_beyond_a_share_that_shrinks_are_closed() {
+    let count = Rc::new(Count::default());
+    let mut slots = [(); 7].map(|()| Slot::new(&count)).into_iter().collect::<Vec<_>>();
+    for slot in &mut slots {
+        slot.set_resting(true);
+    }
+    slots.retain(|slot| !slot.exceeds(Some(7)));
+    assert_eq!(slots.len(), 7);
+    slots.retain(|slot| !slot.exceeds(Some(3)));
+    assert_eq!((slots.len(), count.resting()), (3, 3));
+    slots.retain(|slot| !slot.exceeds(Some(0)));
+    assert_eq!(slots.len(), 1);
+    assert!(!slots[0].exceeds(None));
+}
+
 /// Calls to one target up to this host's share of its connections. Guards against further calls that wait for a
 /// connection there while another target has room, and against a target that stays full.
 #[test]
