Leave copies of streams at targets without room for a connection

Found in review; no caller was seen to suffer from it. A copy of a stream was dropped and begun at another engine unless its engine was available. Since connections are counted, an engine at which this host uses its share is full instead, although it holds the copy as before and the transfer is between engines. A host with a small share dropped copies whenever it had as many streams at that engine, which moves memory anew and leaves the stream without a copy meanwhile.

Both checks now leave copies at engines that are available or full. New copies are placed as before.

--- a/crates/gateway/src/availability.rs
+++ b/crates/gateway/src/availability.rs
@@ -43,6 +43,13 @@
     refusals: u32,
 }
 
+impl Availability {
+    /// Returns whether copies of streams stay at the target. They need no connection of this host.
+    pub fn holds_copies(self) -> bool {
+        matches!(self, Self::Available | Self::Full)
+    }
+}
+
 impl State {
     /// Returns whether the target may take new work, given its own announcement, the suspicion of its data centre and
     /// whether there is room for a connection.
--- a/crates/gateway/src/backup.rs
+++ b/crates/gateway/src/backup.rs
@@ -131,7 +131,7 @@
         loop {
             let is_usable = |target: &Target| {
                 let availability = gateway.fleet().borrow().availability(gateway.now(), &target.id);
-                availability == Some(Availability::Available)
+                availability.is_some_and(Availability::holds_copies)
             };
             if current.as_ref().is_some_and(|(target, _)| !is_usable(target)) {
                 latest.take();
--- a/crates/gateway/src/stream_progress.rs
+++ b/crates/gateway/src/stream_progress.rs
@@ -124,7 +124,7 @@
                 .fleet()
                 .borrow()
                 .availability(self.gateway.now(), &backup.target.id);
-            availability != Some(Availability::Available)
+            !availability.is_some_and(Availability::holds_copies)
         });
         if !has_failed {
             return;
--- a/crates/gateway/tests/connections.rs
+++ b/crates/gateway/tests/connections.rs
@@ -173,7 +173,12 @@
     };
     let count = fleet.connections("a").expect("a target");
     let slots = [Slot::new(&count), Slot::new(&count)];
-    assert_eq!(fleet.availability(NOW, "a"), Some(Availability::Full));
+    let availability = fleet.availability(NOW, "a").expect("a target");
+    assert_eq!(availability, Availability::Full);
+    assert!(
+        availability.holds_copies(),
+        "copies of streams need no connection of this host"
+    );
     for _ in 0..20 {
         assert_eq!(fleet.choose_call(NOW, criteria).expect("a target").id, "b");
     }
