Ignore impossible totals of a peer

A datagram with a total of 2^64 - 1 for a process made the next addition or sum overflow: a panic in debug builds, a wrapped and thus wrong sum in release builds, which would have been recorded and reported. Found by review; the test fails with the overflow before the change.

With 200,000 totals at most, no sum can overflow.

--- a/crates/gateway/src/usage/totals.rs
+++ b/crates/gateway/src/usage/totals.rs
@@ -7,6 +7,8 @@
 
 /// The maximum number of totals that are kept, which bounds the memory to some tens of megabytes.
 const MAX_TOTALS: usize = 200_000;
+/// The maximum total of a process, account and window. No process begins as many requests, and sums cannot overflow.
+const MAX_TOTAL: u64 = 1 << 32;
 
 /// Totals by window, process and account.
 ///
@@ -25,9 +27,9 @@
         total
     }
 
-    /// Merges totals of a process.
+    /// Merges totals of a process, except of impossible ones.
     pub fn merge(&mut self, window: u64, source: &Source, counts: &Counts) {
-        for (account, total) in counts {
+        for (account, total) in counts.iter().filter(|(_, total)| **total <= MAX_TOTAL) {
             self.raise(window, source, account, *total);
         }
     }
--- a/crates/gateway/tests/usage_totals.rs
+++ b/crates/gateway/tests/usage_totals.rs
@@ -125,3 +125,19 @@
     totals.retain(&(1..=3));
     assert_eq!(totals.windows().collect::<Vec<_>>(), [1]);
 }
+
+/// Guards against a faulty peer whose totals overflow the sums, or make a report absurd.
+#[test]
+fn impossible_totals_are_ignored() {
+    let mut totals = Totals::default();
+    totals.merge(
+        0,
+        &source(0, 0),
+        &Counts::from([("a".to_owned(), 2), ("b".to_owned(), 1)]),
+    );
+    totals.merge(0, &source(0, 0), &Counts::from([("a".to_owned(), u64::MAX)]));
+    totals.merge(0, &source(1, 0), &Counts::from([("a".to_owned(), u64::MAX)]));
+    totals.add(0, &source(1, 0), "a");
+    assert_eq!(totals.sums(0), Counts::from([("a".to_owned(), 3), ("b".to_owned(), 1)]));
+    assert_eq!(totals.requests(0), 4);
+}
