Do not decide ended windows again after the record of the usage was deleted

A holder that found no record began with the first window of which it knew counts. If the record had been deleted, these windows may have been reported, and a holder that knew fewer counts (one that was started anew) reported them with other ones.

A record that does not exist now begins with the current window, like one that cannot be decoded, and the windows that are left out are logged as missed. No earlier holder can have decided the current window, as it has not ended. The cost is that of a deployment that is used before its first host takes the lease, whose first windows are not reported.

The number of requests in the log line of a report saturates, as the record may contain any number.

--- a/crates/gateway/src/usage/ledger.rs
+++ b/crates/gateway/src/usage/ledger.rs
@@ -20,6 +20,8 @@
 
 const UNDECIDED: &str = "no host could record the window in time; look at the store and at the lease of the duties";
 const UNREPORTED: &str = "the platform accepted no report in time; look at the address of the duties";
+const UNRECORDED: &str =
+    "the store has no record, so an earlier holder may have reported them; do not delete the record of the usage";
 const UNREADABLE: &str =
     "the record of an earlier holder cannot be decoded and is replaced; run one release on all hosts";
 
@@ -138,14 +140,10 @@
 
     /// Takes over the record that was read, and merges its totals.
     pub fn read(&mut self, time: Duration, stored: Option<&Stored>, totals: &mut Totals) {
-        let current = self.timing.grid.window(time);
         let journal = match stored.map(|stored| serde_json::from_str::<Journal>(&stored.contents)) {
             Some(Ok(journal)) => journal,
             Some(Err(_)) => self.replace_unreadable(time),
-            None => Journal {
-                next: totals.first_window().unwrap_or(current).min(current),
-                ..Journal::default()
-            },
+            None => self.create(time, totals),
         };
         journal.merge_open(totals);
         self.recorded = Some(Recorded {
@@ -178,7 +176,11 @@
 
     /// Records that the platform accepted a report.
     pub fn reported(&mut self, time: Duration, report: &Report, totals: &Totals) {
-        let requests = report.counts.values().sum();
+        // The record may contain any number.
+        let requests = report
+            .counts
+            .values()
+            .fold(0, |sum: u64, count| sum.saturating_add(*count));
         self.reported.insert(report.window, requests);
         self.notices.push(Notice::Reported {
             window: report.window,
@@ -247,6 +249,23 @@
         missed
     }
 
+    /// Returns the first record. A deleted one may have named any ended window.
+    fn create(&mut self, time: Duration, totals: &Totals) -> Journal {
+        let next = self.timing.grid.window(time);
+        let first = totals.first_window().unwrap_or(next).max(self.timing.first_due(time));
+        if first < next {
+            self.notices.push(Notice::Missed {
+                first,
+                count: next - first,
+                reason: UNRECORDED,
+            });
+        }
+        Journal {
+            next,
+            ..Journal::default()
+        }
+    }
+
     /// Returns the record in place of one that cannot be decoded. It may have named any ended window.
     fn replace_unreadable(&mut self, time: Duration) -> Journal {
         let first = self.timing.first_due(time);
--- a/crates/gateway/tests/usage_ledger.rs
+++ b/crates/gateway/tests/usage_ledger.rs
@@ -307,6 +307,22 @@
     }
 }
 
+/// Guards against another decision on reported windows after the record was deleted, by a holder that knows fewer counts.
+#[test]
+fn a_deleted_record_does_not_change_reports() {
+    let mut model = Model::new(1);
+    model.run(Some(0), Duration::from_secs(22), 0.0);
+    model.kill(1);
+    model.platform.record = None;
+    model.run(Some(1), Duration::from_secs(30), 0.0);
+    let deleted = timing().grid.window(START + Duration::from_secs(22));
+    for window in model.ended().filter(|window| *window > deleted) {
+        assert_eq!(model.platform.reports[&window].1, model.truth[&window]);
+    }
+    let is_missed = |notice: &Notice| matches!(notice, Notice::Missed { .. });
+    assert!(model.notices.iter().any(is_missed));
+}
+
 /// Guards against reports that are overdue after an outage, and against windows that are skipped although they are due.
 #[test_case(Duration::from_secs(4), 0; "a short outage")]
 #[test_case(Duration::from_secs(30), 5; "a long outage")]
