--- a/crates/gateway/src/gateway/duties.rs
+++ b/crates/gateway/src/gateway/duties.rs
@@ -9,7 +9,6 @@
 
 use super::Gateway;
 
-#[allow(dead_code, reason = "the tasks of the duties do not exist yet")]
 impl Gateway {
     /// Returns the state of the duties; `None` if this deployment has none.
     pub(crate) fn duties(&self) -> Option<&State> {
