--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 //! | [`inventory`] | the register of targets |
 //! | [`lease`] | lease timing without a shared clock |
 //! | [`limit`] | admission control: token quotas, shares of accounts, early rejection |
+//! | [`limit_level`] | admission by level: which requests run while a service is overloaded |
 //! | [`membership`] | membership protocol of the entry hosts |
 //! | [`order`] | fenced orders to engines |
 //! | [`platform`] | objects and errors of the platform API |
@@ -64,6 +65,7 @@
 pub mod limit;
 mod limit_account;
 mod limit_length;
+pub mod limit_level;
 mod limit_limiter;
 mod limit_quota;
 mod limit_reservation;
--- /dev/null
+++ b/crates/core/src/limit_level.rs
@@ -0,0 +1,33 @@
+//! Admission by level: which requests run while a service has less room than its callers ask for.
+//!
+//! Each host keeps a [`Level`] for each service, the part of the offered work that is admitted. It falls while the service
+//! is overloaded ([`Signal`]) and returns to 1 within [`RECOVERY`]. The hosts tell each other their levels and apply the
+//! median ([`Peers`]), so that an urgent request at one host does not lose to a less urgent one at another.
+//! [`Offered`] ranks the work below the level: by priority, and within a priority by the excess of an account over its
+//! fair share. [`Admission`] combines them for one service.
+//!
+//! | module | concern |
+//! |--------|---------|
+//! | `admission` | admission of the requests for one service |
+//! | `level` | the level of one host |
+//! | `offered` | recent work by priority and account, and the part of it that is admitted |
+//! | `peers` | the levels of other hosts |
+//! | `rank` | rank of a request |
+//! | `signal` | whether a service is overloaded |
+//!
+//! Levels by priority follow DAGOR, the decrease by the excess delay follows Breakwater, and fairness by tokens follows
+//! VTC.
+
+mod admission;
+mod level;
+mod offered;
+mod peers;
+mod rank;
+mod signal;
+
+pub use admission::{Admission, Refusal};
+pub use level::{Level, RECOVERY};
+pub use offered::{LEAST_PART, Offered};
+pub use peers::Peers;
+pub use rank::{Demand, Rank};
+pub use signal::Signal;
--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -76,6 +76,9 @@
     pub from: Entry,
     pub loads: BTreeMap<String, Load>,
     pub used: BTreeMap<String, Usage>,
+    /// The levels of overloaded services, in thousandths; see [`crate::overload`].
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub levels: BTreeMap<String, u16>,
 }
 
 /// The reason why a datagram cannot be decoded.
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -1,5 +1,6 @@
 //! Endpoints of the gateway itself: readiness, address lookup, state for peers, metrics and the state dump.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use hyper::header::{CONTENT_TYPE, HeaderMap};
@@ -74,6 +75,8 @@
             "suspect": fleet.is_suspect(gateway.now(), &target.id),
         })
     });
+    let mut overload = gateway.overload().borrow_mut();
+    let levels = overload.levels(gateway.now()).into_iter().collect::<BTreeMap<_, _>>();
     json!({
         "entry": gateway.settings().entry.name,
         "phase": format!("{:?}", gateway.phase()),
@@ -83,6 +86,7 @@
         "targets": targets.collect::<Vec<_>>(),
         "members": gateway.peers().members(),
         "quarantine": gateway.quarantine().dump(gateway.now()),
+        "admission_levels": levels,
         "open_requests": gateway.open_requests(),
     })
 }
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -119,6 +119,8 @@
     953 Warn Failed { request: &'a str, route: &'a str, status: u16, reason: &'a str, target: &'a str, attempts: u32, took_ms: u64, config: u64 }
     /// An attempt at a target yielded no usable response.
     954 Info AttemptFailed { request: &'a str, target: &'a str, attempt: u32, reason: &'a str, ran: &'a str, took_ms: u64, next: &'a str }
+    /// A request is refused because its service is overloaded.
+    955 Info Shed { request: &'a str, service: &'a str, account: &'a str, priority: u8, level: f64, excess: f64, expected_ms: u64, reason: &'a str }
     /// A stream was resumed at another target.
     961 Info StreamContinued { request: &'a str, from: &'a str, to: &'a str, last_event: u64, source: &'a str, silent_ms: u64 }
     /// A stream completed.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -95,6 +95,9 @@
 impl Exchange<'_> {
     async fn run(&mut self) -> Response<Body> {
         self.gateway.record_request(&self.job.service);
+        if let Err(refusal) = self.gateway.check_overload(&self.job) {
+            return self.refuse(refusal.reason, refusal.retry_after);
+        }
         loop {
             let Some(target) = self.choose() else {
                 return self.give_up("no target accepts the request");
@@ -109,6 +112,7 @@
             self.excluded.push(target.id.clone());
             let took_ms = millis(self.gateway.now().since(sent));
             self.record_trial(&target, &outcome, sent);
+            self.record_wait(&target, &outcome, sent);
             match outcome {
                 Outcome::Completed(head, body) if !self.is_retryable(&head) => return self.pass_on(*head, body),
                 Outcome::Completed(head, body) => {
@@ -122,7 +126,7 @@
                 Outcome::NotRun { reason, was_received } => {
                     self.log_failure(&target, &reason, "no", took_ms);
                     if self.attempts >= MAX_ATTEMPTS
-                        || (was_received && !self.gateway.try_retry(&self.job.service))
+                        || (was_received && !self.try_retry())
                         || self.job.time_left(self.gateway).is_zero()
                     {
                         return self.give_up("no target ran the request");
@@ -168,7 +172,13 @@
         self.job.route.kind == Kind::Idempotent
             && self.executions < self.job.route.max_attempts
             && !self.job.time_left(self.gateway).is_zero()
-            && (self.is_retry_reserved.take() || self.gateway.try_retry(&self.job.service))
+            && (self.is_retry_reserved.take() || self.try_retry())
+    }
+
+    /// Takes a retry from the budget. While the service is overloaded, a second attempt would take the room of another
+    /// request.
+    fn try_retry(&self) -> bool {
+        !self.gateway.is_overloaded(&self.job.service) && self.gateway.try_retry(&self.job.service)
     }
 
     /// Returns whether a slow target may be given up, and reserves the retry at another one for that. Without another
@@ -192,7 +202,7 @@
             .fleet()
             .borrow_mut()
             .choose_call(self.gateway.now(), criteria);
-        let may_give_up = other.is_some() && self.gateway.try_retry(&self.job.service);
+        let may_give_up = other.is_some() && self.try_retry();
         self.is_retry_reserved.set(may_give_up);
         may_give_up
     }
@@ -302,6 +312,13 @@
         self.gateway.record_outcome(&self.job.route.name, target, outcome);
     }
 
+    fn record_wait(&self, target: &Target, outcome: &Outcome, sent: Instant) {
+        if let Outcome::Completed(..) = outcome {
+            let took = self.gateway.now().since(sent);
+            self.gateway.record_call(&self.job.service, target, took);
+        }
+    }
+
     fn record_outcome(&self, target: &Target, failed: bool) {
         self.gateway.fleet().borrow_mut().record_outcome(&target.id, failed);
     }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -1,6 +1,7 @@
 //! The known targets with their load and recent failures, and load balancing among them.
 
 mod choice;
+mod forecast;
 mod loads;
 mod usability;
 
@@ -17,9 +18,12 @@
 use crate::load::Load;
 use crate::member::Member;
 use crate::peer_loads;
+use crate::speed::{Pace, Speed};
 use crate::target::Target;
 use crate::versions::Versions;
 
+pub use forecast::Forecast;
+
 /// Failures of two targets of a data centre within this time mark the whole data centre as suspect.
 const DATA_CENTRE_FAILURE_WINDOW: Duration = Duration::from_millis(400);
 /// How long a data centre is avoided after failures of several of its targets.
@@ -74,6 +78,8 @@
     /// Removed targets with the time of their removal. What peers still announce about them is outdated.
     removed: HashMap<String, Instant>,
     departures: Departures,
+    /// The speed of engines by service.
+    speeds: HashMap<String, Speed>,
     random: SmallRng,
 }
 
@@ -87,6 +93,7 @@
             peer_loads: peer_loads::Table::default(),
             removed: HashMap::new(),
             departures: Departures::default(),
+            speeds: HashMap::new(),
             random: SmallRng::seed_from_u64(seed),
         }
     }
@@ -114,6 +121,7 @@
             own_load: Load::default(),
             report: None,
             failure_rate: 0.0,
+            pace: Pace::default(),
             state,
             unlisted_since: None,
             lapsed_until: None,
@@ -235,6 +243,11 @@
         }
     }
 
+    /// Returns the latest load report of a target.
+    pub fn latest_report(&self, id: &str) -> Option<Report> {
+        self.members.get(id)?.report.map(|(_, report, _)| report)
+    }
+
     /// Updates a target's failure rate with the outcome of a call.
     pub fn record_outcome(&mut self, id: &str, failed: bool) {
         if let Some(member) = self.members.get_mut(id) {
--- a/crates/gateway/src/fleet/choice.rs
+++ b/crates/gateway/src/fleet/choice.rs
@@ -34,8 +34,9 @@
     /// Chooses the engine for a stream at which the estimated time to prefill the prompt is shortest.
     pub fn choose_stream(&mut self, now: Instant, criteria: Criteria<'_>, need: Need) -> Option<Rc<Target>> {
         let sample_size = self.stream_sample_size();
+        let speed = self.speed(criteria.service);
         self.choose(now, criteria, sample_size, MAX_STREAM_JITTER_MS, |member| {
-            member.stream_cost(need)
+            member.stream_cost(speed, need)
         })
     }
 
@@ -55,11 +56,12 @@
         criteria: Criteria<'_>,
         need: Need,
     ) -> Option<Rc<Target>> {
+        let speed = self.speed(criteria.service);
         let cost = |member: &Member| {
             if member.target.data_centre == primary.data_centre || member.target.id == primary.id {
                 return f64::INFINITY;
             }
-            member.backup_cost(need)
+            member.backup_cost(speed, need)
         };
         let sample_size = self.stream_sample_size();
         self.choose(now, criteria, sample_size, MAX_STREAM_JITTER_MS, cost)
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -26,6 +26,7 @@
 use crate::fleet::Fleet;
 use crate::idle_timer;
 use crate::load::Load;
+use crate::overload::Overload;
 use crate::peers::Peers;
 use crate::quarantine_shared::Shared;
 use crate::response_memory::Pool;
@@ -75,6 +76,7 @@
     body_bytes: Cell<usize>,
     response_memory: Arc<Pool>,
     response_times: RefCell<Times>,
+    overload: RefCell<Overload>,
 }
 
 /// The lifecycle phase of the process.
@@ -123,6 +125,7 @@
             body_bytes: Cell::default(),
             response_memory: Arc::default(),
             response_times: RefCell::default(),
+            overload: RefCell::default(),
             limits: Cell::new(settings.limits),
             settings,
         })
@@ -251,6 +254,11 @@
         self.publish_readiness();
     }
 
+    /// Returns the overload of services.
+    pub(crate) fn overload(&self) -> &RefCell<Overload> {
+        &self.overload
+    }
+
     /// Returns the retry budget.
     pub fn budget(&self) -> &RefCell<Budget> {
         &self.budget
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 //! | [`logging`] | log output |
 //! | [`metric`] | metrics |
 //! | [`outbound`] | client connections to targets, the store and peers |
+//! | [`overload`] | admission while a service is overloaded |
 //! | [`peers`] | other entry hosts and the reports exchanged with them |
 //! | [`platform`] | the platform's store |
 //! | [`prompt`] | parts of a prompt |
@@ -42,6 +43,7 @@
 //! | [`send_rate`] | limit of the rate at which state is sent to peers |
 //! | [`settings`] | settings file |
 //! | [`silence`] | measurement of an engine's silence |
+//! | [`speed`] | learned speed of engines |
 //! | [`stall`] | detection of engines that send no data |
 //! | [`stream_output`] | output of a stream to its caller |
 //! | [`target`] | targets as the platform lists them |
@@ -92,6 +94,7 @@
 mod member;
 pub mod metric;
 pub mod outbound;
+pub mod overload;
 mod peer_loads;
 pub mod peers;
 mod peers_runner;
@@ -116,6 +119,7 @@
 pub mod send_rate;
 pub mod settings;
 pub mod silence;
+pub mod speed;
 pub mod stall;
 mod state_fetcher;
 mod state_sender;
--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -23,6 +23,8 @@
 const MIN_COLLECTED_INTERVAL: Duration = Duration::from_millis(100);
 /// The maximum interval between two reports while there is load, so that a lost datagram has no lasting effect.
 const MAX_REPORT_INTERVAL: Duration = Duration::from_secs(2);
+/// The maximum interval between two reports while a service is overloaded.
+const LEVEL_REPORT_INTERVAL: Duration = Duration::from_millis(200);
 /// How long reports are gathered. Relayed reports then arrive within a third of a second.
 const BATCH_INTERVAL: Duration = Duration::from_millis(200);
 /// A batch takes one relay in each data centre, because the next one follows soon.
@@ -57,6 +59,10 @@
             .budget()
             .borrow_mut()
             .set_peer_usage(now, from, report.used.clone());
+        self.gateway
+            .overload()
+            .borrow_mut()
+            .merge_peer(now, from, &report.levels);
     }
 
     /// Gathers a report for the next batch.
@@ -69,11 +75,14 @@
         let mut reporter = Reporter::default();
         loop {
             let own = self.gateway.fleet().borrow().own_loads();
+            let levels = self.gateway.overload().borrow().own_levels(self.gateway.now());
             let is_idle = own.is_empty();
+            let is_overloaded = !levels.is_empty();
             let report = LoadReport {
                 from: self.gateway.peers().name.clone(),
                 loads: reporter.report(&own),
                 used: self.gateway.budget().borrow_mut().usage(self.gateway.now()),
+                levels,
             };
             let interval = self.send(report);
             self.gateway.timer().sleep(interval).await;
@@ -81,7 +90,10 @@
             if reporter.is_pending() {
                 continue;
             }
-            if is_idle {
+            if is_overloaded {
+                // Peers have to hear soon that the level has changed, or is back at 1.
+                self.gateway.timer().timeout(LEVEL_REPORT_INTERVAL, wake).await;
+            } else if is_idle {
                 wake.await;
             } else {
                 self.gateway.timer().timeout(MAX_REPORT_INTERVAL, wake).await;
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -8,14 +8,11 @@
 use crate::availability::State;
 use crate::fleet::{Criteria, Need, Report};
 use crate::load::Load;
+use crate::speed::{Pace, Queue, Speed};
 use crate::target::Target;
 
 /// Reports older than this have no weight.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(600);
-/// An engine's prefill throughput in tokens per millisecond.
-const PREFILL_TOKENS_PER_MS: f64 = 8.0;
-/// The cost of one running stream for other streams at the engine, in milliseconds of prefill.
-const RUNNING_STREAM_COST_MS: f64 = 40.0;
 /// The share of an engine's memory above which other engines are preferred.
 const MEMORY_HIGH_WATERMARK: f64 = 0.85;
 /// The cost of a target whose calls all fail, as a multiple of its slots.
@@ -35,6 +32,8 @@
     pub report: Option<(Instant, Report, u32)>,
     /// The moving average of failed calls, from 0 to 1.
     pub failure_rate: f64,
+    /// The time that it takes, compared with the other targets of its service.
+    pub pace: Pace,
     /// What limits the work of the target.
     pub state: State,
     /// When the target was added without being listed in the store; `None` once the store lists it.
@@ -67,21 +66,33 @@
         (total - f64::from(own_calls)).max(0.0) * (1.0 - age).max(0.0)
     }
 
-    /// Returns the cost of a stream at this target, in milliseconds of prefill.
-    pub(crate) fn stream_cost(&self, need: Need) -> f64 {
-        let mut load = self.own_load;
-        load.add(self.peer_load);
-        let prefill = load.prefill_tokens as f64 / PREFILL_TOKENS_PER_MS;
-        let running = f64::from(load.streams) * RUNNING_STREAM_COST_MS;
-        let failures = self.failure_rate * need.prompt_tokens as f64 / PREFILL_TOKENS_PER_MS;
-        prefill + running + failures + memory_penalty(load, need)
+    /// Returns the work at this engine that delays the first event of another stream.
+    pub(crate) fn queue(&self) -> Queue {
+        let load = self.load();
+        Queue {
+            prefill_tokens: load.prefill_tokens,
+            streams: load.streams,
+        }
+    }
+
+    /// Returns the cost of a stream at this target: the expected time to its first event in milliseconds. The time for its
+    /// own prompt counts only where the target is slower or faster than others.
+    pub(crate) fn stream_cost(&self, speed: Speed, need: Need) -> f64 {
+        let own = speed.reading_ms(need.prompt_tokens);
+        let waiting = self.pace.factor() * speed.first_event_ms(self.queue());
+        waiting + (self.pace.factor() - 1.0 + self.failure_rate) * own + memory_penalty(self.load(), need)
     }
 
     /// Returns the cost of a stream's backup at this target, in milliseconds of prefill.
-    pub(crate) fn backup_cost(&self, need: Need) -> f64 {
+    pub(crate) fn backup_cost(&self, speed: Speed, need: Need) -> f64 {
+        let load = self.load();
+        speed.reading_ms(load.memory_tokens) + memory_penalty(load, need)
+    }
+
+    fn load(&self) -> Load {
         let mut load = self.own_load;
         load.add(self.peer_load);
-        load.memory_tokens as f64 / PREFILL_TOKENS_PER_MS + memory_penalty(load, need)
+        load
     }
 }
 
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -23,6 +23,10 @@
 pub const ENGINE_CRASHES: &str = "hawthornpost_gateway_engine_crashes_total";
 /// Refused requests by status.
 pub const REFUSED: &str = "hawthornpost_gateway_refused_total";
+/// Requests refused because their service is overloaded, by service, priority and reason.
+pub const SHED: &str = "hawthornpost_gateway_shed_total";
+/// The level of admission, by service.
+pub const LEVEL: &str = "hawthornpost_gateway_admission_level";
 /// Bytes of response bodies with state that were sent to or fetched from peers, by kind and direction.
 pub const STATE_BYTES: &str = "hawthornpost_gateway_peer_state_bytes_total";
 /// Transfers of state to or from peers, by kind and direction.
@@ -63,6 +67,11 @@
         "requests whose engine crashed, by whether they were waiting for its first event or it was answering",
     ),
     (REFUSED, "refused requests by status"),
+    (
+        SHED,
+        "requests refused because of overload, by service, priority and reason",
+    ),
+    (LEVEL, "part of the offered requests that is admitted, by service"),
     (
         STATE_BYTES,
         "bytes of state sent to or fetched from peers, by kind and direction",
@@ -152,6 +161,12 @@
         Event::StreamBroken { route, .. } => count_request(route, "", "broken"),
         Event::ClientLeft { route, .. } => count_request(route, "", "client left"),
         Event::Refused { status, .. } => metrics::counter!(REFUSED, "status" => status.to_string()).increment(1),
+        Event::Shed {
+            service,
+            priority,
+            reason,
+            ..
+        } => count_shed(service, priority, reason),
         Event::AttemptFailed { ran, .. } => metrics::counter!(ATTEMPTS_FAILED, "ran" => ran.to_owned()).increment(1),
         Event::EngineCrashed { prompt, .. } => {
             metrics::counter!(ENGINE_CRASHES, "prompt" => prompt.to_owned()).increment(1);
@@ -183,6 +198,15 @@
     metrics::counter!(REQUESTS, &labels).increment(1);
 }
 
+fn count_shed(service: &str, priority: u8, reason: &str) {
+    let labels = [
+        ("service", service.to_owned()),
+        ("priority", priority.to_string()),
+        ("reason", reason.to_owned()),
+    ];
+    metrics::counter!(SHED, &labels).increment(1);
+}
+
 fn observe(name: &'static str, route: &str, millis: u64) {
     metrics::histogram!(name, "route" => route.to_owned()).record(Duration::from_millis(millis).as_secs_f64());
 }
@@ -195,5 +219,8 @@
     metrics::gauge!(HOSTS).set(gateway.peers().live_hosts() as f64);
     metrics::gauge!(OPEN).set(gateway.open_requests() as f64);
     metrics::gauge!(READY).set(f64::from(u8::from(gateway.is_ready())));
+    for (service, level) in gateway.overload().borrow_mut().levels(gateway.now()) {
+        metrics::gauge!(LEVEL, "service" => service.to_owned()).set(level);
+    }
     RECORDER.get().map(PrometheusHandle::render).unwrap_or_default()
 }
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -47,8 +47,16 @@
             .record_report(gateway.now(), &target.id, report);
     }
     match (&reply.pause, reply.refusal) {
-        (Some(pause), _) => gateway.record_pause(target, pause),
-        (None, Some(Refusal::Rejected)) => gateway.fleet().borrow_mut().record_refusal(gateway.now(), &target.id),
+        (Some(pause), refusal) => {
+            if refusal == Some(Refusal::Rejected) {
+                gateway.record_full(&target.service);
+            }
+            gateway.record_pause(target, pause);
+        }
+        (None, Some(Refusal::Rejected)) => {
+            gateway.record_full(&target.service);
+            gateway.fleet().borrow_mut().record_refusal(gateway.now(), &target.id);
+        }
         (None, Some(Refusal::Misdirected)) => {}
         (None, None) => gateway.fleet().borrow_mut().record_response(&target.id),
     }
--- /dev/null
+++ b/crates/gateway/src/speed.rs
@@ -0,0 +1,102 @@
+//! How fast engines begin to answer, learned from the time to the first event of streams.
+
+use std::time::Duration;
+
+/// The prefill throughput of an engine in tokens per millisecond, before any was observed.
+const PRIOR_PREFILL_TOKENS_PER_MS: f64 = 8.0;
+/// The delay that a running stream causes for another one at its engine, in milliseconds, before any was observed.
+const PRIOR_RUNNING_STREAM_MS: f64 = 40.0;
+/// The weight of one observation for the factors of a service.
+const SERVICE_WEIGHT: f64 = 0.02;
+/// The weight of one observation for the pace of a target.
+const TARGET_WEIGHT: f64 = 0.1;
+/// The bounds of a service's factors. A single observation may be wrong by any amount.
+const FACTOR_RANGE: (f64, f64) = (0.25, 8.0);
+/// The bounds of a target's pace. A slow target still gets work, by which a recovery is noticed.
+const PACE_RANGE: (f64, f64) = (0.5, 4.0);
+
+/// The work that delays the first event of a stream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Queue {
+    /// The prompt tokens that the engine reads until then.
+    pub prefill_tokens: u64,
+    /// The other streams at the engine.
+    pub streams: u32,
+}
+
+/// The speed of the engines of a service.
+#[derive(Clone, Copy, Debug)]
+pub struct Speed {
+    /// The time to read a token, as a multiple of the prior.
+    reading: f64,
+    /// The delay by a running stream, as a multiple of the prior.
+    running: f64,
+}
+
+impl Default for Speed {
+    fn default() -> Self {
+        Self {
+            reading: 1.0,
+            running: 1.0,
+        }
+    }
+}
+
+impl Speed {
+    /// Returns the time to read prompt tokens, in milliseconds.
+    pub fn reading_ms(&self, tokens: u64) -> f64 {
+        self.reading * prior_reading_ms(tokens)
+    }
+
+    /// Returns the expected time to the first event, in milliseconds.
+    pub fn first_event_ms(&self, queue: Queue) -> f64 {
+        self.reading_ms(queue.prefill_tokens) + self.running * prior_running_ms(queue.streams)
+    }
+
+    /// Learns from a stream's time to its first event. Both factors move in proportion to their part of the time
+    /// (normalised least mean squares).
+    pub fn record(&mut self, queue: Queue, took: Duration) {
+        let (reading, running) = (prior_reading_ms(queue.prefill_tokens), prior_running_ms(queue.streams));
+        let norm = reading * reading + running * running;
+        if norm <= 0.0 {
+            return;
+        }
+        let (least, most) = FACTOR_RANGE;
+        let took_ms = (took.as_secs_f64() * 1000.0).clamp(least * (reading + running), most * (reading + running));
+        let error = SERVICE_WEIGHT * (took_ms - self.first_event_ms(queue)) / norm;
+        self.reading = (self.reading + error * reading).clamp(least, most);
+        self.running = (self.running + error * running).clamp(least, most);
+    }
+}
+
+/// The time that a target takes, as a multiple of that of its service.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace(f64);
+
+impl Default for Pace {
+    fn default() -> Self {
+        Self(1.0)
+    }
+}
+
+impl Pace {
+    /// Returns the multiple.
+    pub fn factor(self) -> f64 {
+        self.0
+    }
+
+    /// Learns from an observed time and the expected one of the service.
+    pub fn record(&mut self, took: Duration, expected_ms: f64) {
+        let (least, most) = PACE_RANGE;
+        let observed = (took.as_secs_f64() * 1000.0 / expected_ms.max(1.0)).clamp(least, most);
+        self.0 += TARGET_WEIGHT * (observed - self.0);
+    }
+}
+
+fn prior_reading_ms(tokens: u64) -> f64 {
+    tokens as f64 / PRIOR_PREFILL_TOKENS_PER_MS
+}
+
+fn prior_running_ms(streams: u32) -> f64 {
+    f64::from(streams) * PRIOR_RUNNING_STREAM_MS
+}
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -71,6 +71,9 @@
         if self.stream.gateway.phase() != Phase::Running {
             return self.refuse("this entry host is shutting down", Duration::ZERO);
         }
+        if let Err(refusal) = self.stream.gateway.check_overload(&self.stream.job) {
+            return self.refuse(refusal.reason, refusal.retry_after);
+        }
         let mut failure: Option<Failure> = None;
         loop {
             if !self.stream.screening.admit() {
@@ -95,6 +98,7 @@
                 outcome = attempt.run(&mut self.stream) => outcome,
             };
             let mut is_retry_free = false;
+            let mut was_refused = false;
             let took_ms = millis(self.stream.gateway.now().since(sent));
             let target = &attempt.target;
             match outcome {
@@ -102,6 +106,7 @@
                 Outcome::Other(response) => return self.respond(response),
                 Outcome::NotRun { reason, was_received } => {
                     is_retry_free = !was_received;
+                    was_refused = was_received && !self.stream.output.has_begun();
                     self.stream.wait = None;
                     self.log_failure(target, &reason, "no", took_ms);
                     if attempt.backup.is_none() {
@@ -130,6 +135,9 @@
                     failure = Some(Failure::new(target, stalled_for));
                 }
             }
+            if was_refused && self.stream.gateway.is_overloaded(&self.stream.job.service) {
+                return self.give_up("an engine refused the stream and the service is overloaded");
+            }
             let stream = &mut self.stream;
             if let Err(reason) = stream.retries.take(&stream.gateway, &stream.job, is_retry_free) {
                 return self.give_up(reason);
--- a/crates/gateway/src/stream_attempt.rs
+++ b/crates/gateway/src/stream_attempt.rs
@@ -73,6 +73,10 @@
         let target = &self.target;
         let need = stream.need();
         let prefill = if self.backup.is_some() { 0 } else { need.prompt_tokens };
+        stream.queue = None;
+        if self.backup.is_none() {
+            stream.record_queue(target, prefill);
+        }
         let mut reservation = stream
             .gateway
             .reserve(&target.id, Load::stream(prefill, need.memory_tokens));
@@ -332,6 +336,10 @@
     fn record_first_event(&self, stream: &mut Progress, sent: Instant) {
         if !stream.output.has_begun() {
             let took = stream.gateway.now().since(sent);
+            if let Some(queue) = stream.queue.take() {
+                let mut fleet = stream.gateway.fleet().borrow_mut();
+                fleet.record_first_event(&self.target.id, queue, took);
+            }
             stream.record_trial(&self.target, trial::Outcome::Responded(took));
             stream.start_wait(&self.target, trial::Latency::EventInterval);
         }
--- a/crates/gateway/src/stream_progress.rs
+++ b/crates/gateway/src/stream_progress.rs
@@ -8,6 +8,7 @@
 use crate::gateway::Gateway;
 use crate::job::Job;
 use crate::screening::Screening;
+use crate::speed::Queue;
 use crate::stream_output::Output;
 use crate::stream_retries::Retries;
 use crate::target::Target;
@@ -32,6 +33,8 @@
     pub backup: Option<Backup>,
     /// Creates a new copy after the backup has failed.
     pub copier: Copier,
+    /// The work at the engine when the attempt was sent that reads the prompt; `None` after its first event.
+    pub queue: Option<Queue>,
     /// Observes whether an engine begins to answer the prompt.
     pub screening: Screening,
     /// The wait for the outcome of the attempt, for the trial of a version.
@@ -51,6 +54,7 @@
             excluded: Vec::new(),
             backup: None,
             copier: Copier::default(),
+            queue: None,
             wait: None,
         }
     }
@@ -65,6 +69,15 @@
         }
     }
 
+    /// Records the work that an engine does before it answers the prompt.
+    pub(crate) fn record_queue(&mut self, target: &Target, prompt_tokens: u64) {
+        let queue = self.gateway.fleet().borrow().queue(&target.id);
+        self.queue = queue.map(|queue| Queue {
+            prefill_tokens: queue.prefill_tokens.saturating_add(prompt_tokens),
+            ..queue
+        });
+    }
+
     /// Chooses an engine for the backup copy; `None` if the service or the route does not support backups.
     pub(crate) fn choose_backup(&self, target: &Target, need: Need) -> Option<Rc<Target>> {
         let engine = self.gateway.table().engine(&self.job.service)?;
