--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -18,6 +18,7 @@
 mod inforce;
 mod membership;
 mod overload;
+mod overload_level;
 mod path;
 mod path_caller;
 mod path_daemon;
