--- a/crates/core/src/limit_level.rs
+++ b/crates/core/src/limit_level.rs
@@ -14,6 +14,7 @@
 //! | `peers` | the levels of other hosts |
 //! | `rank` | rank of a request |
 //! | `signal` | whether a service is overloaded |
+//! | `throughput` | the part of the offered work that a service completes |
 //!
 //! Levels by priority follow DAGOR, the decrease by the excess delay follows Breakwater, and fairness by tokens follows
 //! VTC.
@@ -24,6 +25,7 @@
 mod peers;
 mod rank;
 mod signal;
+mod throughput;
 
 pub use admission::{Admission, Refusal};
 pub use level::{Level, RECOVERY};
@@ -31,3 +33,4 @@
 pub use peers::Peers;
 pub use rank::{Demand, Rank};
 pub use signal::Signal;
+pub use throughput::Throughput;
--- a/crates/core/src/limit_level/admission.rs
+++ b/crates/core/src/limit_level/admission.rs
@@ -3,13 +3,13 @@
 use std::time::Duration;
 
 use crate::clock::Instant;
-use crate::limit_level::{Demand, Level, Offered, Peers, Rank, Signal};
+use crate::limit_level::{Demand, Level, Offered, Peers, Rank, Signal, Throughput};
 
 /// The mean delay at the beginning of an overload, within which a level first falls and rises.
 const MIN_DELAY: Duration = Duration::from_millis(500);
 /// The part of the time until its deadline after which a refused caller returns at the latest, so that it can still be
 /// served.
-const MAX_DELAY_FRACTION: f64 = 0.5;
+const MAX_DELAY_FRACTION: f64 = 0.75;
 /// The spread of the delays of refused callers around their mean, as a factor.
 const DELAY_SPREAD: (f64, f64) = (0.5, 1.5);
 
@@ -30,6 +30,7 @@
     own: Level,
     peers: Peers,
     offered: Offered,
+    throughput: Throughput,
 }
 
 /// The refusal of a request that ranks above the level.
@@ -46,7 +47,12 @@
 impl Admission {
     /// Applies a signal of the service.
     pub fn observe(&mut self, now: Instant, signal: Signal) {
-        self.own.observe(now, signal);
+        self.own.observe(now, signal, self.throughput.completed_part());
+    }
+
+    /// Records work that the service has completed, in the unit of [`Demand::work`].
+    pub fn record_completed(&mut self, now: Instant, work: f64) {
+        self.throughput.record_completed(now, work);
     }
 
     /// Stores the level of a peer.
@@ -77,6 +83,7 @@
         random: f64,
     ) -> Result<(), Refusal> {
         self.offered.record(now, demand, random);
+        self.throughput.record_offered(now, demand.work);
         let level = self.level(now);
         if level >= 1.0 {
             return Ok(());
--- a/crates/core/src/limit_level/level.rs
+++ b/crates/core/src/limit_level/level.rs
@@ -8,7 +8,7 @@
 /// The time without overload after which a level is back at 1.
 pub const RECOVERY: Duration = Duration::from_secs(2);
 /// The exponent of the recovery. The level rises slowly next to the value at which the service was overloaded.
-const RECOVERY_EXPONENT: i32 = 2;
+const RECOVERY_EXPONENT: i32 = 3;
 /// The lowest level, from which the effect of a higher one can still be observed.
 const MIN_LEVEL: f64 = 0.02;
 
@@ -45,8 +45,9 @@
         self.base + (1.0 - self.base) * elapsed.powi(RECOVERY_EXPONENT)
     }
 
-    /// Applies a signal.
-    pub fn observe(&mut self, now: Instant, signal: Signal) {
+    /// Applies a signal of a service that completes `completed_part` of the offered work. As a service with waiting
+    /// requests completes what it has room for, the level falls only as far below this part as the queue has to shrink.
+    pub fn observe(&mut self, now: Instant, signal: Signal, completed_part: f64) {
         if !signal.is_overload() {
             return;
         }
@@ -59,7 +60,8 @@
             .is_none_or(|at| now.since(at) >= signal.reaction_time());
         self.base = if is_due {
             self.decreased_at = Some(now);
-            (value * signal.factor()).max(MIN_LEVEL)
+            let room = (completed_part * signal.drain_factor()).min(value);
+            (value * signal.factor()).max(room).max(MIN_LEVEL)
         } else {
             value
         };
--- a/crates/core/src/limit_level/signal.rs
+++ b/crates/core/src/limit_level/signal.rs
@@ -4,6 +4,12 @@
 
 /// The minimum and the maximum factor by which one signal of overload lowers a level.
 const FACTOR_RANGE: (f64, f64) = (0.5, 0.95);
+/// The minimum and the maximum part of the completed work that is admitted while the queue shrinks.
+const DRAIN_RANGE: (f64, f64) = (0.8, 0.95);
+/// The expected time as a part of the objective up to which nearly all requests are in time, as waits differ by target.
+const MEAN_WAIT_FRACTION: f64 = 0.5;
+/// The multiple of the unloaded time below which a service is slow rather than overloaded.
+const MIN_SLOWDOWN: u32 = 3;
 /// The part of refused attempts above which a service is overloaded: more attempts are refused than run.
 const MAX_REFUSED_PART: f64 = 0.5;
 /// The bounds of the time after which a lower level shows in the signal. Peers learn of each other's work within the
@@ -32,7 +38,8 @@
 
     /// Returns the expected time above which the service is overloaded.
     pub fn limit(&self) -> Duration {
-        self.objective.max(self.unloaded.saturating_mul(2))
+        let in_time = self.objective.mul_f64(MEAN_WAIT_FRACTION);
+        in_time.max(self.unloaded.saturating_mul(MIN_SLOWDOWN))
     }
 
     /// Returns the factor by which the level falls: the part of the admitted work that the service can do in time.
@@ -42,6 +49,13 @@
         in_time.min(1.0 - self.refused_part).clamp(least, most)
     }
 
+    /// Returns the part of the completed work that is admitted while the queue shrinks to the limit.
+    pub fn drain_factor(&self) -> f64 {
+        let in_time = self.limit().as_secs_f64() / self.expected.as_secs_f64().max(f64::MIN_POSITIVE);
+        let (least, most) = DRAIN_RANGE;
+        in_time.clamp(least, most)
+    }
+
     /// Returns the time after which a lower level shows in the signal.
     pub fn reaction_time(&self) -> Duration {
         let (least, most) = REACTION_RANGE;
--- a/crates/gateway/src/overload/service.rs
+++ b/crates/gateway/src/overload/service.rs
@@ -46,6 +46,11 @@
         self.admission.observe(now, signal);
     }
 
+    /// Records work that the service has completed; calls are 1 each, streams count their tokens.
+    pub fn record_completed(&mut self, now: Instant, work: f64) {
+        self.admission.record_completed(now, work);
+    }
+
     /// Decides on a request.
     ///
     /// # Errors
--- a/crates/gateway/src/overload/waits.rs
+++ b/crates/gateway/src/overload/waits.rs
@@ -9,8 +9,6 @@
 
 /// The age after which an observation of a target is ignored.
 const MAX_AGE: Duration = Duration::from_secs(1);
-/// The weight of the latest observation of a target.
-const WAIT_WEIGHT: f64 = 0.3;
 /// The weight of the latest attempt in the part that was refused.
 const REFUSED_WEIGHT: f64 = 0.1;
 /// The weight of the latest response in the time of a call that does not wait.
@@ -23,19 +21,12 @@
 pub struct Waits {
     /// The time of a call that does not wait, in seconds.
     work: Option<f64>,
-    targets: HashMap<String, Wait>,
+    /// The latest expected time at each target, in seconds.
+    targets: HashMap<String, (Instant, f64)>,
     refused_part: f64,
     refused_at: Instant,
 }
 
-/// The expected time of a call at a target, in seconds.
-#[derive(Clone, Copy, Debug)]
-struct Wait {
-    at: Instant,
-    mean: f64,
-    deviation: f64,
-}
-
 impl Waits {
     /// Records a response of a target and the load that it reported.
     pub fn record(&mut self, now: Instant, target: &str, took: Duration, report: Option<Report>) {
@@ -45,10 +36,8 @@
         let expected = report.map_or(took, |report| {
             work * (1.0 + f64::from(report.waiting) / f64::from(report.slots.max(1)))
         });
-        let known = self.targets.get(target).filter(|wait| now.since(wait.at) <= MAX_AGE);
-        let wait = known.map_or(Wait::new(now, expected), |wait| wait.next(now, expected));
-        self.targets.retain(|_, wait| now.since(wait.at) <= MAX_AGE);
-        self.targets.insert(target.to_owned(), wait);
+        self.targets.retain(|_, (at, _)| now.since(*at) <= MAX_AGE);
+        self.targets.insert(target.to_owned(), (now, expected));
     }
 
     /// Records that a full target refused a request.
@@ -68,8 +57,8 @@
     /// Returns the expected time of the next call, as the median of the targets: a few slow ones get fewer calls. `None`
     /// without recent responses.
     pub fn forecast(&self, now: Instant) -> Option<Forecast> {
-        let fresh = self.targets.values().filter(|wait| now.since(wait.at) <= MAX_AGE);
-        let mut times = fresh.map(|wait| wait.mean + wait.deviation).collect::<Vec<_>>();
+        let fresh = self.targets.values().filter(|(at, _)| now.since(*at) <= MAX_AGE);
+        let mut times = fresh.map(|(_, expected)| *expected).collect::<Vec<_>>();
         times.sort_by(f64::total_cmp);
         let expected = *times.get(times.len() / 2)?;
         Some(Forecast {
@@ -90,22 +79,3 @@
         work
     }
 }
-
-impl Wait {
-    fn new(at: Instant, expected: f64) -> Self {
-        Self {
-            at,
-            mean: expected,
-            deviation: 0.0,
-        }
-    }
-
-    fn next(self, at: Instant, expected: f64) -> Self {
-        let error = expected - self.mean;
-        Self {
-            at,
-            mean: self.mean + WAIT_WEIGHT * error,
-            deviation: self.deviation + WAIT_WEIGHT * (error.abs() - self.deviation),
-        }
-    }
-}
--- a/crates/gateway/src/speed.rs
+++ b/crates/gateway/src/speed.rs
@@ -7,7 +7,7 @@
 /// The delay that a running stream causes for another one at its engine, in milliseconds, before any was observed.
 const PRIOR_RUNNING_STREAM_MS: f64 = 40.0;
 /// The weight of one observation for the factors of a service.
-const SERVICE_WEIGHT: f64 = 0.02;
+const SERVICE_WEIGHT: f64 = 0.1;
 /// The weight of one observation for the pace of a target.
 const TARGET_WEIGHT: f64 = 0.1;
 /// The bounds of a service's factors. A single observation may be wrong by any amount.
