--- a/crates/gateway/src/overload/check.rs
+++ b/crates/gateway/src/overload/check.rs
@@ -14,6 +14,8 @@
 
 /// All accounts have the same weight, as the configuration has none.
 const WEIGHT: u32 = 1;
+/// The work of a call. Its time is not known before it runs.
+const CALL_WORK: f64 = 1.0;
 /// The reason to refuse a request that ranks above the level.
 const ABOVE_LEVEL: &str = "the service is overloaded and requests that rank before this one fill it";
 /// The reason to refuse a request that would end too late.
@@ -43,6 +45,8 @@
             }
         };
         let time_left = job.time_left(self);
+        // A caller may return after the timeout of the route, until its own deadline.
+        let return_within = job.metadata.deadline.unwrap_or(time_left);
         let mut overload = self.overload().borrow_mut();
         let service = overload.service(&job.service);
         service.record_objective(now, job.route.objective);
@@ -52,7 +56,7 @@
             self.peers().wake_loads();
         }
         let random = rand::random();
-        if let Err(refusal) = service.admit(now, &demand(job), time_left, random) {
+        if let Err(refusal) = service.admit(now, &demand(job), return_within, random) {
             log(job, forecast, Some(refusal), ABOVE_LEVEL);
             return Err(Refusal {
                 reason: ABOVE_LEVEL,
@@ -64,7 +68,7 @@
             log(job, forecast, None, TOO_LATE);
             return Err(Refusal {
                 reason: TOO_LATE,
-                retry_after: service.retry_after(now, time_left, random),
+                retry_after: service.retry_after(now, return_within, random),
             });
         }
         Ok(())
@@ -79,10 +83,16 @@
     pub(crate) fn record_call(&self, service: &str, target: &Target, took: Duration) {
         let report = self.fleet().borrow().latest_report(&target.id);
         let mut overload = self.overload().borrow_mut();
-        overload
-            .service(service)
-            .waits()
-            .record(self.now(), &target.id, took, report);
+        let service = overload.service(service);
+        service.record_completed(self.now(), CALL_WORK);
+        service.waits().record(self.now(), &target.id, took, report);
+    }
+
+    /// Records that the engine of a stream has begun to answer.
+    pub(crate) fn record_begun(&self, job: &Job) {
+        let mut overload = self.overload().borrow_mut();
+        let service = overload.service(&job.service);
+        service.record_completed(self.now(), demand(job).work);
     }
 
     /// Records that a full target refused a request.
@@ -115,7 +125,7 @@
 fn demand(job: &Job) -> Demand<'_> {
     let work = match job.route.kind {
         Kind::Streaming => (job.metadata.prompt_tokens + job.metadata.output_tokens).max(1) as f64,
-        Kind::Idempotent | Kind::NonIdempotent => 1.0,
+        Kind::Idempotent | Kind::NonIdempotent => CALL_WORK,
     };
     Demand {
         account: job.account_name(),
--- a/crates/gateway/src/speed.rs
+++ b/crates/gateway/src/speed.rs
@@ -10,7 +10,9 @@
 const SERVICE_WEIGHT: f64 = 0.1;
 /// The weight of one observation for the pace of a target.
 const TARGET_WEIGHT: f64 = 0.1;
-/// The bounds of a service's factors. A single observation may be wrong by any amount.
+/// The bounds of one observation as a multiple of the expected time, as a single one may be wrong by any amount.
+const OBSERVATION_RANGE: (f64, f64) = (0.5, 2.0);
+/// The bounds of a service's factors.
 const FACTOR_RANGE: (f64, f64) = (0.25, 8.0);
 /// The bounds of a target's pace. A slow target still gets work, by which a recovery is noticed.
 const PACE_RANGE: (f64, f64) = (0.5, 4.0);
@@ -61,9 +63,11 @@
         if norm <= 0.0 {
             return;
         }
+        let expected = self.first_event_ms(queue);
+        let (least, most) = OBSERVATION_RANGE;
+        let took_ms = (took.as_secs_f64() * 1000.0).clamp(least * expected, most * expected);
         let (least, most) = FACTOR_RANGE;
-        let took_ms = (took.as_secs_f64() * 1000.0).clamp(least * (reading + running), most * (reading + running));
-        let error = SERVICE_WEIGHT * (took_ms - self.first_event_ms(queue)) / norm;
+        let error = SERVICE_WEIGHT * (took_ms - expected) / norm;
         self.reading = (self.reading + error * reading).clamp(least, most);
         self.running = (self.running + error * running).clamp(least, most);
     }
--- a/crates/gateway/src/stream_attempt.rs
+++ b/crates/gateway/src/stream_attempt.rs
@@ -336,6 +336,7 @@
     fn record_first_event(&self, stream: &mut Progress, sent: Instant) {
         if !stream.output.has_begun() {
             let took = stream.gateway.now().since(sent);
+            stream.gateway.record_begun(&stream.job);
             if let Some(queue) = stream.queue.take() {
                 let mut fleet = stream.gateway.fleet().borrow_mut();
                 fleet.record_first_event(&self.target.id, queue, took);
