Reserve the least parts of less urgent work within the level

At ten times the room the least part of the less urgent calls alone took two fifths of the room on top of the level, and in the model of 6 hosts the queue never shrank: nothing was in time. The level now includes them. The model was not run again.

--- a/crates/core/src/limit_level/offered.rs
+++ b/crates/core/src/limit_level/offered.rs
@@ -58,7 +58,13 @@
             .priorities
             .range(..demand.priority)
             .map(|(_, accounts)| work_of(accounts));
-        let room = level.mul_add(total, -ahead.sum::<f64>());
+        let behind = self
+            .priorities
+            .iter()
+            .filter(|(priority, _)| **priority > demand.priority);
+        // The least parts of the less urgent work take room too, or more than the level would be admitted.
+        let reserved = LEAST_PART * behind.map(|(_, accounts)| work_of(accounts)).sum::<f64>();
+        let room = level * total - ahead.sum::<f64>() - reserved;
         let accounts = self.priorities.get(&demand.priority);
         let Some((accounts, share)) = accounts.and_then(|all| Some((all, all.get(demand.account)?))) else {
             return (1.0, rank(demand, 1.0));
--- a/crates/core/tests/limit_level.rs
+++ b/crates/core/tests/limit_level.rs
@@ -92,6 +92,19 @@
     assert!(parts[1] < LEAST_PART * 2.0, "{parts:?}");
 }
 
+#[test]
+fn least_parts_do_not_exceed_the_level() {
+    // Guards against a queue that never shrinks at ten times the room, because least parts are admitted beyond the level.
+    let rates = [("crews", 0, 0.2), ("crews", 2, 0.8)];
+    let parts = admitted(0.08, &rates);
+    let total = parts
+        .iter()
+        .zip(rates)
+        .map(|(part, (_, _, rate))| part * rate)
+        .sum::<f64>();
+    assert!(total < 0.1, "{parts:?}");
+}
+
 #[test]
 fn one_account_at_15_times_its_usual_does_not_push_out_others() {
     // Guards against an account that takes the room of nine others, each of which would be served whole without it.
