--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -137,6 +137,18 @@
     972 Info TargetPaused { target: &'a str, pause_ms: u64, asked: &'a str }
     /// A target sent a response or a refusal that does not name the request on its connection.
     973 Warn ForeignResponse { request: &'a str, target: &'a str, names: &'a str, status: u16 }
+    /// This host holds the lease of the duties.
+    981 Info DutiesBegan { number: u64, term_ms: u64 }
+    /// This host lost the lease of the duties.
+    982 Warn DutiesLost { number: u64, reason: &'a str, held_ms: u64 }
+    /// This host released the lease of the duties.
+    983 Info DutiesReleased { number: u64, reason: &'a str, held_ms: u64 }
+    /// The holder of the duty reported the usage of a window.
+    984 Info UsageReported { window: u64, requests: u64, accounts: usize, hosts: usize, age_ms: u64 }
+    /// The usage of windows was not reported in time.
+    985 Warn UsageMissed { window: u64, count: u64, reason: &'a str }
+    /// Counts arrived after the report of their window and were dropped.
+    986 Warn UsageLate { window: u64, requests: u64 }
 }
 
 thread_local! {
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -80,6 +80,8 @@
     departures: Departures,
     /// The speed of engines by service.
     speeds: HashMap<String, Speed>,
+    /// This host's share of the connections that a target accepts, by service.
+    connection_shares: HashMap<String, u32>,
     random: SmallRng,
 }
 
@@ -94,6 +96,7 @@
             removed: HashMap::new(),
             departures: Departures::default(),
             speeds: HashMap::new(),
+            connection_shares: HashMap::new(),
             random: SmallRng::seed_from_u64(seed),
         }
     }
@@ -123,6 +126,7 @@
             failure_rate: 0.0,
             pace: Pace::default(),
             state,
+            connections: Rc::default(),
             unlisted_since: None,
             lapsed_until: None,
             target: Rc::new(target),
