Bound streams by their expected time to the first event (trial)

Callers of urgent streams were served worse than callers of less urgent ones, and streams stayed late after the end of an overload, as a level by feedback refuses too late and recovers too late. Streams are now admitted while their expected time to the first event is within a bound.

--- a/crates/core/src/limit_level/offered.rs
+++ b/crates/core/src/limit_level/offered.rs
@@ -26,6 +26,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Share {
     work: f64,
+    admitted: f64,
     requests: f64,
     weight: f64,
     /// The admissions that are due. Refusals add to it, so that an account that was refused goes first when it returns.
@@ -90,6 +91,34 @@
         is_admitted
     }
 
+    /// Returns whether an account offers more than its weighted share of the work in its priority.
+    pub fn is_above_share(&self, demand: &Demand<'_>) -> bool {
+        let accounts = self.priorities.get(&demand.priority);
+        let Some((accounts, share)) = accounts.and_then(|all| Some((all, all.get(demand.account)?))) else {
+            return false;
+        };
+        let weight = accounts.values().map(|share| share.weight).sum::<f64>();
+        share.work * weight > work_of(accounts) * share.weight
+    }
+
+    /// Records the admission of a request that was recorded before.
+    pub fn record_admitted(&mut self, demand: &Demand<'_>) {
+        let accounts = self.priorities.get_mut(&demand.priority);
+        if let Some(share) = accounts.and_then(|accounts| accounts.get_mut(demand.account)) {
+            share.admitted += demand.work;
+        }
+    }
+
+    /// Returns the part of the admitted work that is at least as urgent as a priority, from 0 to 1; 1 without any.
+    pub fn ahead_part(&self, priority: u8) -> f64 {
+        let total = self.priorities.values().map(admitted_of).sum::<f64>();
+        let ahead = self
+            .priorities
+            .range(..=priority)
+            .map(|(_, accounts)| admitted_of(accounts));
+        if total > 0.0 { ahead.sum::<f64>() / total } else { 1.0 }
+    }
+
     fn decay(&mut self, now: Instant) {
         let elapsed = now.since(self.decayed_at);
         if elapsed < DECAY_INTERVAL {
@@ -100,6 +129,7 @@
         for accounts in self.priorities.values_mut() {
             for share in accounts.values_mut() {
                 share.work *= factor;
+                share.admitted *= factor;
                 share.requests *= factor;
             }
             accounts.retain(|_, share| share.requests >= MIN_REQUESTS);
@@ -119,6 +149,10 @@
     accounts.values().map(|share| share.work).sum()
 }
 
+fn admitted_of(accounts: &BTreeMap<String, Share>) -> f64 {
+    accounts.values().map(|share| share.admitted).sum()
+}
+
 /// Returns the work for each unit of weight that each account may have, so that all together have `room` and none has
 /// more than it offered (weighted max-min fairness).
 fn fill_level(accounts: &BTreeMap<String, Share>, room: f64) -> f64 {
--- a/crates/gateway/src/fleet/forecast.rs
+++ b/crates/gateway/src/fleet/forecast.rs
@@ -14,6 +14,8 @@
     pub expected: Duration,
     /// The expected time if the target were idle.
     pub unloaded: Duration,
+    /// The mean time from the first event of a stream to its end; zero for calls and before any stream has ended.
+    pub remaining: Duration,
 }
 
 impl Forecast {
@@ -35,10 +37,13 @@
         let speed = self.speed(&member.target.service);
         let mut queue = member.queue();
         queue.prefill_tokens = queue.prefill_tokens.saturating_add(need.prompt_tokens);
+        let stream = speed.stream_ms();
+        let room = stream * excess_part(member, queue, need);
         let millis = |millis: f64| Duration::from_secs_f64(member.pace.factor() * millis / 1000.0);
         Some(Forecast {
-            expected: millis(speed.first_event_ms(queue)),
+            expected: millis(speed.first_event_ms(queue) + room),
             unloaded: millis(speed.reading_ms(need.prompt_tokens)),
+            remaining: millis(stream),
         })
     }
 
@@ -52,7 +57,29 @@
         speed.record(queue, took);
     }
 
+    /// Learns from the time between the first event of a stream and its end.
+    pub fn record_stream(&mut self, service: &str, took: Duration) {
+        if !self.speeds.contains_key(service) {
+            self.speeds.insert(service.to_owned(), Speed::default());
+        }
+        if let Some(speed) = self.speeds.get_mut(service) {
+            speed.record_stream(took);
+        }
+    }
+
     pub(super) fn speed(&self, service: &str) -> Speed {
         self.speeds.get(service).copied().unwrap_or_default()
     }
 }
+
+/// Returns the part of the running streams that has to end before another one has a slot and memory.
+fn excess_part(member: &Member, queue: Queue, need: Need) -> f64 {
+    let load = member.load();
+    let slots = member.target.slots.max(1);
+    let streams = queue.streams.saturating_add(1).saturating_sub(slots);
+    let memory = load.memory_tokens.saturating_add(need.memory_tokens);
+    let memory = memory.saturating_sub(need.capacity);
+    let by_slots = f64::from(streams) / f64::from(slots);
+    let by_memory = memory as f64 / need.capacity.max(1) as f64;
+    by_slots.max(by_memory)
+}
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -100,7 +100,8 @@
         speed.reading_ms(load.memory_tokens) + memory_penalty(load, need)
     }
 
-    fn load(&self) -> Load {
+    /// Returns the load from all hosts.
+    pub(crate) fn load(&self) -> Load {
         let mut load = self.own_load;
         load.add(self.peer_load);
         load
--- a/crates/gateway/src/overload.rs
+++ b/crates/gateway/src/overload.rs
@@ -2,10 +2,12 @@
 //!
 //! | module | concern |
 //! |--------|---------|
+//! | [`bound`] | the bound on the expected time of streams |
 //! | `check` | the decision on a request |
 //! | [`service`] | the state of one service |
 //! | [`waits`] | the expected time of calls, learned from responses |
 
+pub mod bound;
 mod check;
 pub mod service;
 pub mod waits;
--- a/crates/gateway/src/overload/check.rs
+++ b/crates/gateway/src/overload/check.rs
@@ -14,10 +14,14 @@
 
 /// All accounts have the same weight, as the configuration has none.
 const WEIGHT: u32 = 1;
+/// The number of choices of an engine for an expected time.
+const CHOICES: usize = 2;
 /// The work of a call. Its time is not known before it runs.
 const CALL_WORK: f64 = 1.0;
 /// The reason to refuse a request that ranks above the level.
 const ABOVE_LEVEL: &str = "the service is overloaded and requests that rank before this one fill it";
+/// The reason to refuse a stream that would wait longer than its bound.
+const ABOVE_BOUND: &str = "the engines are overloaded and the stream would wait too long for its first event";
 /// The reason to refuse a request that would end too late.
 const TOO_LATE: &str = "the service is overloaded and would not serve the request within its deadline";
 
@@ -35,16 +39,43 @@
     ///
     /// # Errors
     ///
-    /// Fails when the request ranks above the level of its service, or cannot be served within its deadline.
+    /// Fails when the request would wait longer than its service allows, or cannot be served within its deadline.
     pub(crate) fn check_overload(&self, job: &Job) -> Result<(), Refusal> {
+        match job.route.kind {
+            Kind::Streaming => self.check_stream(job),
+            Kind::Idempotent | Kind::NonIdempotent => self.check_call(job),
+        }
+    }
+
+    fn check_stream(&self, job: &Job) -> Result<(), Refusal> {
         let now = self.now();
-        let forecast = match job.route.kind {
-            Kind::Streaming => self.forecast_stream(job),
-            Kind::Idempotent | Kind::NonIdempotent => {
-                self.overload().borrow_mut().service(&job.service).waits().forecast(now)
-            }
+        let Some(forecast) = self.forecast_stream(job) else {
+            return Ok(());
         };
         let time_left = job.time_left(self);
+        let mut overload = self.overload().borrow_mut();
+        let bound = overload.service(&job.service).bound();
+        let (excess, reason) = if let Err(excess) = bound.admit(now, &demand(job), job.route.objective, forecast) {
+            (excess, ABOVE_BOUND)
+        } else if forecast.is_queueing() && forecast.expected + forecast.remaining > time_left {
+            bound.record_refusal(now);
+            (forecast.expected + forecast.remaining - time_left, TOO_LATE)
+        } else {
+            return Ok(());
+        };
+        log(job, Some(forecast), None, reason);
+        // A caller may return after the timeout of the route, until its own deadline.
+        let return_within = job.metadata.deadline.unwrap_or(time_left);
+        Err(Refusal {
+            reason,
+            retry_after: bound.retry_after(now, excess, return_within, rand::random()),
+        })
+    }
+
+    fn check_call(&self, job: &Job) -> Result<(), Refusal> {
+        let now = self.now();
+        let forecast = self.overload().borrow_mut().service(&job.service).waits().forecast(now);
+        let time_left = job.time_left(self);
         // A caller may return after the timeout of the route, until its own deadline.
         let return_within = job.metadata.deadline.unwrap_or(time_left);
         let mut overload = self.overload().borrow_mut();
@@ -76,7 +107,10 @@
 
     /// Returns whether the service is overloaded, so that a second attempt would take the room of another request.
     pub(crate) fn is_overloaded(&self, service: &str) -> bool {
-        self.overload().borrow_mut().service(service).level(self.now()) < 1.0
+        let now = self.now();
+        let mut overload = self.overload().borrow_mut();
+        let service = overload.service(service);
+        service.bound().is_refusing(now) || service.level(now) < 1.0
     }
 
     /// Records the response of a target to a call, with the load that the target reported in it.
@@ -88,13 +122,6 @@
         service.waits().record(self.now(), &target.id, took, report);
     }
 
-    /// Records that the engine of a stream has begun to answer.
-    pub(crate) fn record_begun(&self, job: &Job) {
-        let mut overload = self.overload().borrow_mut();
-        let service = overload.service(&job.service);
-        service.record_completed(self.now(), demand(job).work);
-    }
-
     /// Records that a full target refused a request.
     pub(crate) fn record_full(&self, service: &str) {
         let mut overload = self.overload().borrow_mut();
@@ -117,8 +144,12 @@
             excluded: &[],
         };
         let mut fleet = self.fleet().borrow_mut();
-        let target = fleet.choose_stream(self.now(), criteria, need)?;
-        fleet.stream_forecast(&target.id, need)
+        // The choice is random among several engines: a second one avoids refusals because the first were crowded.
+        let forecasts = (0..CHOICES).filter_map(|_| {
+            let target = fleet.choose_stream(self.now(), criteria, need)?;
+            fleet.stream_forecast(&target.id, need)
+        });
+        forecasts.min_by_key(|forecast| forecast.expected)
     }
 }
 
--- a/crates/gateway/src/overload/service.rs
+++ b/crates/gateway/src/overload/service.rs
@@ -7,6 +7,7 @@
 
 use crate::fleet::Forecast;
 
+use super::bound::Bound;
 use super::waits::Waits;
 
 /// How long a route counts after its last request. The shortest objective of the routes in use applies.
@@ -17,6 +18,7 @@
 pub struct Service {
     admission: Admission,
     waits: Waits,
+    bound: Bound,
     objective: Option<(Instant, Duration)>,
 }
 
@@ -26,6 +28,11 @@
         &mut self.waits
     }
 
+    /// Returns the bound on the expected time of streams.
+    pub fn bound(&mut self) -> &mut Bound {
+        &mut self.bound
+    }
+
     /// Records the objective of a route for which a request has arrived.
     pub fn record_objective(&mut self, now: Instant, objective: Duration) {
         let is_longer = |(at, known): &(Instant, Duration)| *known < objective && now.since(*at) <= OBJECTIVE_MEMORY;
--- a/crates/gateway/src/overload/waits.rs
+++ b/crates/gateway/src/overload/waits.rs
@@ -64,6 +64,7 @@
         Some(Forecast {
             expected: Duration::from_secs_f64(expected),
             unloaded: Duration::from_secs_f64(self.work.unwrap_or_default()),
+            remaining: Duration::ZERO,
         })
     }
 
--- a/crates/gateway/src/speed.rs
+++ b/crates/gateway/src/speed.rs
@@ -33,6 +33,8 @@
     reading: f64,
     /// The delay by a running stream, as a multiple of the prior.
     running: f64,
+    /// The mean time from the first event of a stream to its end, in milliseconds; 0 before any has ended.
+    stream_ms: f64,
 }
 
 impl Default for Speed {
@@ -40,6 +42,7 @@
         Self {
             reading: 1.0,
             running: 1.0,
+            stream_ms: 0.0,
         }
     }
 }
@@ -50,6 +53,20 @@
         self.reading * prior_reading_ms(tokens)
     }
 
+    /// Returns the mean time from the first event of a stream to its end, in milliseconds; 0 before any has ended.
+    pub fn stream_ms(&self) -> f64 {
+        self.stream_ms
+    }
+
+    /// Learns from the time between the first event of a stream and its end.
+    pub fn record_stream(&mut self, took: Duration) {
+        let took_ms = took.as_secs_f64() * 1000.0;
+        if self.stream_ms <= 0.0 {
+            self.stream_ms = took_ms;
+        }
+        self.stream_ms += SERVICE_WEIGHT * (took_ms - self.stream_ms);
+    }
+
     /// Returns the expected time to the first event, in milliseconds.
     pub fn first_event_ms(&self, queue: Queue) -> f64 {
         self.reading_ms(queue.prefill_tokens) + self.running * prior_running_ms(queue.streams)
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -234,10 +234,20 @@
         .log();
     }
 
+    /// Records the time to the end of a stream that had one engine.
+    fn record_duration(&self, first: Instant) {
+        if self.stream.retries.attempts == 1 {
+            let took = self.stream.output.last_at.since(first);
+            let mut fleet = self.stream.gateway.fleet().borrow_mut();
+            fleet.record_stream(&self.stream.job.service, took);
+        }
+    }
+
     async fn finish(&mut self, target: &Target) {
         self.stream.copier.delete(&self.stream.gateway);
         let first = self.stream.output.first_at.unwrap_or(self.stream.job.started);
         self.stream.record_event_interval(target);
+        self.record_duration(first);
         self.stream.output.finish().await;
         self.is_finished = true;
         Event::StreamDone {
--- a/crates/gateway/src/stream_attempt.rs
+++ b/crates/gateway/src/stream_attempt.rs
@@ -375,7 +375,6 @@
         if !stream.output.has_begun() {
             stream.count_usage();
             let took = stream.gateway.now().since(sent);
-            stream.gateway.record_begun(&stream.job);
             if let Some(queue) = stream.queue.take() {
                 let mut fleet = stream.gateway.fleet().borrow_mut();
                 fleet.record_first_event(&self.target.id, queue, took);
--- a/crates/gateway/tests/overload.rs
+++ b/crates/gateway/tests/overload.rs
@@ -25,12 +25,12 @@
     work: 1.0,
 };
 
-fn report(waiting: u32) -> Option<Report> {
-    Some(Report {
+fn report(waiting: u32) -> Report {
+    Report {
         running: 6,
         waiting,
         slots: 6,
-    })
+    }
 }
 
 /// Returns the state after calm responses of three targets and then responses with these waiting calls at each.
@@ -40,7 +40,7 @@
         for (target, waiting) in ["a", "b", "c"].into_iter().zip(waiting) {
             let waiting = if tick < 20 { 0 } else { waiting };
             let took = WORK * (1 + waiting / 6);
-            waits.record(Instant::from_millis(tick * 20), target, took, report(waiting));
+            waits.record(Instant::from_millis(tick * 20), target, took, Some(report(waiting)));
         }
     }
     waits
@@ -89,12 +89,8 @@
         hawthornpost_gateway::fleet::Forecast::default(),
     );
     assert!(service.level(Instant::from_millis(2900)) >= 1.0);
-    let random = 0.1;
-    assert!(
-        service
-            .admit(Instant::from_millis(2900), &CALL, DEADLINE, random)
-            .is_ok()
-    );
+    let decision = service.admit(Instant::from_millis(2900), &CALL, DEADLINE, 0.1);
+    assert_eq!(decision, Ok(()));
 }
 
 #[test]
