--- a/crates/core/tests/limit_level.rs
+++ b/crates/core/tests/limit_level.rs
@@ -60,7 +60,7 @@
     for tick in 0..1000 {
         let now = Instant::from_millis(tick * 10);
         admission.observe(now, IN_TIME);
-        assert!(admission.admit(now, &demand("crews", 2), DEADLINE, 0.1).is_ok());
+        assert_eq!(admission.admit(now, &demand("crews", 2), DEADLINE, 0.1), Ok(()));
     }
 }
 
--- a/crates/gateway/src/overload/bound.rs
+++ b/crates/gateway/src/overload/bound.rs
@@ -25,6 +25,16 @@
 /// The spread of the delays of refused callers around their mean, as a factor.
 const DELAY_SPREAD: (f64, f64) = (0.75, 1.25);
 
+/// The urgency of a route. An account's own priority does not change it, or the streams of one account on a route with a
+/// long objective would fill the queue of the most urgent route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Urgency {
+    /// The priority of the route, where 0 is the most urgent.
+    pub priority: u8,
+    /// The latency objective of the route.
+    pub objective: Duration,
+}
+
 /// Admits streams while their expected time to the first event is within a bound, which needs no feedback.
 #[derive(Debug, Default)]
 pub struct Bound {
@@ -40,7 +50,7 @@
 }
 
 impl Bound {
-    /// Decides on a stream with this objective.
+    /// Decides on a stream of a route with this urgency.
     ///
     /// # Errors
     ///
@@ -49,14 +59,14 @@
         &mut self,
         now: Instant,
         demand: &Demand<'_>,
-        objective: Duration,
+        route: Urgency,
         forecast: Forecast,
     ) -> Result<(), Duration> {
-        self.record_objective(now, demand.priority, objective);
+        self.record_route(now, route);
         self.offered.record(now, demand, 0.0);
         let is_above_share = self.is_refusing(now) && self.offered.is_above_share(demand);
         let part = if is_above_share { ABOVE_SHARE_PART } else { 1.0 };
-        let bound = self.bound(demand.priority, objective);
+        let bound = self.bound(route);
         let own_bound = bound.mul_f64(part);
         let expected = self.expected(demand.priority, forecast);
         // Without waiting requests a refusal would make no other stream faster.
@@ -109,17 +119,21 @@
     }
 
     /// Returns the longest expected time with which a stream is admitted.
-    fn bound(&self, priority: u8, objective: Duration) -> Duration {
+    fn bound(&self, route: Urgency) -> Duration {
         match self.objectives.first_key_value() {
-            Some((most_urgent, (_, shortest))) if *most_urgent < priority => {
-                objective.min(shortest.mul_f64(LESS_URGENT_PART))
+            Some((most_urgent, (_, shortest))) if *most_urgent < route.priority => {
+                route.objective.min(shortest.mul_f64(LESS_URGENT_PART))
             }
-            Some(_) | None => objective,
+            Some((_, (_, shortest))) => route.objective.min(*shortest),
+            None => route.objective,
         }
     }
 
-    fn record_objective(&mut self, now: Instant, priority: u8, objective: Duration) {
+    fn record_route(&mut self, now: Instant, route: Urgency) {
         self.objectives.retain(|_, (at, _)| now.since(*at) <= ROUTE_MEMORY);
-        self.objectives.insert(priority, (now, objective));
+        let known = self.objectives.get(&route.priority);
+        if known.is_none_or(|(_, objective)| route.objective <= *objective) {
+            self.objectives.insert(route.priority, (now, route.objective));
+        }
     }
 }
--- a/crates/gateway/src/overload/check.rs
+++ b/crates/gateway/src/overload/check.rs
@@ -10,6 +10,7 @@
 use crate::fleet::{Criteria, Forecast, Need};
 use crate::gateway::Gateway;
 use crate::job::Job;
+use crate::overload::bound::Urgency;
 use crate::target::Target;
 
 /// All accounts have the same weight, as the configuration has none.
@@ -54,12 +55,17 @@
         };
         let time_left = job.time_left(self);
         let mut overload = self.overload().borrow_mut();
+        let route = Urgency {
+            priority: job.route.priority,
+            objective: job.route.objective,
+        };
         let bound = overload.service(&job.service).bound();
-        let (excess, reason) = if let Err(excess) = bound.admit(now, &demand(job), job.route.objective, forecast) {
+        let (excess, reason) = if let Err(excess) = bound.admit(now, &demand(job), route, forecast) {
             (excess, ABOVE_BOUND)
         } else if forecast.is_queueing() && forecast.expected + forecast.remaining > time_left {
             bound.record_refusal(now);
-            (forecast.expected + forecast.remaining - time_left, TOO_LATE)
+            let end = forecast.expected + forecast.remaining;
+            (end.saturating_sub(time_left), TOO_LATE)
         } else {
             return Ok(());
         };
--- a/crates/gateway/tests/overload_bound.rs
+++ b/crates/gateway/tests/overload_bound.rs
@@ -8,13 +8,19 @@
 use hawthornpost_core::limit_level::Demand;
 use hawthornpost_gateway::fleet::{Fleet, Forecast};
 use hawthornpost_gateway::load::Load;
-use hawthornpost_gateway::overload::bound::Bound;
+use hawthornpost_gateway::overload::bound::{Bound, Urgency};
 use test_case::test_case;
 
 use support::{NEED, engine};
 
-const URGENT_OBJECTIVE: Duration = Duration::from_secs(4);
-const OTHER_OBJECTIVE: Duration = Duration::from_secs(10);
+const URGENT_ROUTE: Urgency = Urgency {
+    priority: 0,
+    objective: Duration::from_secs(4),
+};
+const OTHER_ROUTE: Urgency = Urgency {
+    priority: 2,
+    objective: Duration::from_secs(10),
+};
 const DEADLINE: Duration = Duration::from_secs(24);
 const URGENT: Demand<'_> = Demand {
     account: "crews",
@@ -37,13 +43,13 @@
     // Guards against urgent streams that are late because less urgent ones fill the queue up to their own objective.
     let mut bound = Bound::default();
     let now = Instant::ZERO;
-    assert!(bound.admit(now, &OTHER, OTHER_OBJECTIVE, forecast(3000)).is_ok());
-    assert!(bound.admit(now, &URGENT, URGENT_OBJECTIVE, forecast(3000)).is_ok());
-    assert!(bound.admit(now, &OTHER, OTHER_OBJECTIVE, forecast(3000)).is_err());
-    assert!(bound.admit(now, &URGENT, URGENT_OBJECTIVE, forecast(9000)).is_err());
+    assert_eq!(bound.admit(now, &OTHER, OTHER_ROUTE, forecast(3000)), Ok(()));
+    assert_eq!(bound.admit(now, &URGENT, URGENT_ROUTE, forecast(3000)), Ok(()));
+    assert_ne!(bound.admit(now, &OTHER, OTHER_ROUTE, forecast(3000)), Ok(()));
+    assert_ne!(bound.admit(now, &URGENT, URGENT_ROUTE, forecast(9000)), Ok(()));
     // Without urgent streams in use, the others have their own objective again.
     let later = Instant::from_millis(6000);
-    assert!(bound.admit(later, &OTHER, OTHER_OBJECTIVE, forecast(3000)).is_ok());
+    assert_eq!(bound.admit(later, &OTHER, OTHER_ROUTE, forecast(3000)), Ok(()));
 }
 
 #[test]
@@ -52,11 +58,20 @@
     let mut bound = Bound::default();
     let now = Instant::ZERO;
     for _ in 0..9 {
-        assert!(bound.admit(now, &OTHER, OTHER_OBJECTIVE, forecast(1500)).is_ok());
+        assert_eq!(bound.admit(now, &OTHER, OTHER_ROUTE, forecast(1500)), Ok(()));
     }
-    assert!(bound.admit(now, &URGENT, URGENT_OBJECTIVE, forecast(1500)).is_ok());
-    assert!(bound.admit(now, &URGENT, URGENT_OBJECTIVE, forecast(8000)).is_ok());
-    assert!(bound.admit(now, &OTHER, OTHER_OBJECTIVE, forecast(8000)).is_err());
+    assert_eq!(bound.admit(now, &URGENT, URGENT_ROUTE, forecast(1500)), Ok(()));
+    assert_eq!(bound.admit(now, &URGENT, URGENT_ROUTE, forecast(8000)), Ok(()));
+    assert_ne!(bound.admit(now, &OTHER, OTHER_ROUTE, forecast(8000)), Ok(()));
+}
+
+#[test]
+fn the_priority_of_an_account_does_not_widen_the_bound() {
+    // Guards against an urgent account that fills the queue up to the long objective of a less urgent route.
+    let mut bound = Bound::default();
+    let now = Instant::ZERO;
+    assert_eq!(bound.admit(now, &URGENT, URGENT_ROUTE, forecast(1500)), Ok(()));
+    assert_ne!(bound.admit(now, &URGENT, OTHER_ROUTE, forecast(3000)), Ok(()));
 }
 
 #[test]
@@ -67,7 +82,7 @@
         ..forecast(6000)
     };
     let mut bound = Bound::default();
-    assert!(bound.admit(Instant::ZERO, &URGENT, URGENT_OBJECTIVE, long).is_ok());
+    assert_eq!(bound.admit(Instant::ZERO, &URGENT, URGENT_ROUTE, long), Ok(()));
     assert!(!bound.is_refusing(Instant::ZERO));
 }
 
@@ -77,10 +92,10 @@
     let mut bound = Bound::default();
     for tick in 0..100 {
         let now = Instant::from_millis(tick * 100);
-        assert!(bound.admit(now, &URGENT, URGENT_OBJECTIVE, forecast(9000)).is_err());
+        assert_ne!(bound.admit(now, &URGENT, URGENT_ROUTE, forecast(9000)), Ok(()));
     }
     let now = Instant::from_millis(10_000);
-    assert!(bound.admit(now, &URGENT, URGENT_OBJECTIVE, forecast(3000)).is_ok());
+    assert_eq!(bound.admit(now, &URGENT, URGENT_ROUTE, forecast(3000)), Ok(()));
     assert!(!bound.is_refusing(now + Duration::from_secs(1)));
 }
 
@@ -98,7 +113,7 @@
         // The queue is at half to all of the bound, and beyond it from time to time.
         let forecast = forecast(2200 + tick % 20 * 100);
         let demand = if tick % 11 == 0 { URGENT } else { flood };
-        if bound.admit(now, &demand, URGENT_OBJECTIVE, forecast).is_ok() && tick >= 200 {
+        if bound.admit(now, &demand, URGENT_ROUTE, forecast).is_ok() && tick >= 200 {
             admitted[usize::from(tick % 11 == 0)] += 1;
         }
     }
