--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 //! | [`logging`] | log output |
 //! | [`metric`] | metrics |
 //! | [`outbound`] | client connections to targets, the store and peers |
+//! | [`overload`] | admission while a service is overloaded |
 //! | [`peers`] | other entry hosts and the reports exchanged with them |
 //! | [`platform`] | the platform's store |
 //! | [`prompt`] | parts of a prompt |
@@ -44,6 +45,7 @@
 //! | [`send_rate`] | limit of the rate at which state is sent to peers |
 //! | [`settings`] | settings file |
 //! | [`silence`] | measurement of an engine's silence |
+//! | [`speed`] | learned speed of engines |
 //! | [`stall`] | detection of engines that send no data |
 //! | [`stream_output`] | output of a stream to its caller |
 //! | [`target`] | targets as the platform lists them |
@@ -96,6 +98,7 @@
 mod member;
 pub mod metric;
 pub mod outbound;
+pub mod overload;
 mod peer_loads;
 pub mod peers;
 mod peers_runner;
@@ -120,6 +123,7 @@
 pub mod send_rate;
 pub mod settings;
 pub mod silence;
+pub mod speed;
 pub mod stall;
 mod state_fetcher;
 mod state_sender;
