--- a/crates/gateway/src/overload/check.rs
+++ b/crates/gateway/src/overload/check.rs
@@ -36,12 +36,15 @@
 }
 
 impl Gateway {
-    /// Decides whether a request runs now.
+    /// Decides whether a request runs now. Without `admission` in the settings all do.
     ///
     /// # Errors
     ///
     /// Fails when the request would wait longer than its service allows, or cannot be served within its deadline.
     pub(crate) fn check_overload(&self, job: &Job) -> Result<(), Refusal> {
+        if !self.limits().admission {
+            return Ok(());
+        }
         match job.route.kind {
             Kind::Streaming => self.check_stream(job),
             Kind::Idempotent | Kind::NonIdempotent => self.check_call(job),
@@ -113,6 +116,9 @@
 
     /// Returns whether the service is overloaded, so that a second attempt would take the room of another request.
     pub(crate) fn is_overloaded(&self, service: &str) -> bool {
+        if !self.limits().admission {
+            return false;
+        }
         let now = self.now();
         let mut overload = self.overload().borrow_mut();
         let service = overload.service(service);
@@ -121,6 +127,9 @@
 
     /// Records the response of a target to a call, with the load that the target reported in it.
     pub(crate) fn record_call(&self, service: &str, target: &Target, took: Duration) {
+        if !self.limits().admission {
+            return;
+        }
         let report = self.fleet().borrow().latest_report(&target.id);
         let mut overload = self.overload().borrow_mut();
         let service = overload.service(service);
@@ -130,6 +139,9 @@
 
     /// Records that a full target refused a request.
     pub(crate) fn record_full(&self, service: &str) {
+        if !self.limits().admission {
+            return;
+        }
         let mut overload = self.overload().borrow_mut();
         overload.service(service).waits().record_refusal(self.now());
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -99,6 +99,8 @@
     pub request_bytes: usize,
     /// The maximum size of the response of a plain service in bytes.
     pub response_bytes: usize,
+    /// Whether requests are refused early while their service is overloaded.
+    pub admission: bool,
 }
 
 /// Section `[duties]`: calls to the platform that one host at a time makes for all.
@@ -247,6 +249,7 @@
         retries,
         request_bytes: section.default("request_bytes", "a number of bytes", 64 << 20)?,
         response_bytes: section.default("response_bytes", "a number of bytes", intake::DEFAULT_RESPONSE_BYTES)?,
+        admission: section.default("admission", "true or false", false)?,
     };
     section.finish()?;
     Ok(limits)
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -234,9 +234,9 @@
         .log();
     }
 
-    /// Records the time to the end of a stream that had one engine.
+    /// Records the time to the end of a stream that had one engine, for admission.
     fn record_duration(&self, first: Instant) {
-        if self.stream.retries.attempts == 1 {
+        if self.stream.retries.attempts == 1 && self.stream.gateway.limits().admission {
             let took = self.stream.output.last_at.since(first);
             let mut fleet = self.stream.gateway.fleet().borrow_mut();
             fleet.record_stream(&self.stream.job.service, took);
--- a/crates/gateway/src/stream_progress.rs
+++ b/crates/gateway/src/stream_progress.rs
@@ -76,8 +76,11 @@
         }
     }
 
-    /// Records the work that an engine does before it answers the prompt.
+    /// Records the work that an engine does before it answers the prompt, from which its speed is learned for admission.
     pub(crate) fn record_queue(&mut self, target: &Target, prompt_tokens: u64) {
+        if !self.gateway.limits().admission {
+            return;
+        }
         let queue = self.gateway.fleet().borrow().queue(&target.id);
         self.queue = queue.map(|queue| Queue {
             prefill_tokens: queue.prefill_tokens.saturating_add(prompt_tokens),
