--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -7,7 +7,7 @@
 //! |--------|---------|
 //! | [`count`] | connections of this host to one target |
 //! | `lease` | a connection that a request uses |
-//! | [`pool`] | connections that rest between two requests |
+//! | [`pool`] | idle connections to targets |
 //! | [`share`] | this host's share of a target's connections |
 //! | `shared` | the connections of a process |
 
--- a/crates/gateway/src/connections/lease.rs
+++ b/crates/gateway/src/connections/lease.rs
@@ -39,7 +39,7 @@
 }
 
 impl Lease {
-    /// Takes a resting connection to a target or opens a new one.
+    /// Takes an idle connection to a target or opens a new one.
     ///
     /// # Errors
     ///
@@ -51,7 +51,7 @@
         connect_timeout: Duration,
     ) -> Result<Self, Failure> {
         while let Some(mut link) = gateway.connections().take(gateway, target, reuse) {
-            link.slot.set_resting(false);
+            link.slot.set_idle(false);
             // The event loop reads what has arrived on the connection, such as its end, before the request is sent.
             tokio::task::yield_now().await;
             if link.is_usable() {
@@ -93,7 +93,7 @@
         if !is_kept || share == Some(0) || link.exceeds(share) {
             return;
         }
-        link.slot.set_resting(true);
+        link.slot.set_idle(true);
         gateway.connections().put(&gateway, link, idle_timeout);
     }
 }
@@ -137,12 +137,12 @@
     }
 }
 
-/// Counts a new connection to a target, if this host has room for one. A resting one is closed for it.
+/// Counts a new connection to a target, if this host has room for one. An idle one is closed for it.
 fn reserve(gateway: &Gateway, target: &Target) -> Result<Slot, Failure> {
     let share = gateway.connection_share(&target.service);
     let count = gateway.fleet().borrow().connections(&target.id);
     let count = count.unwrap_or_default();
-    if count.is_exhausted(share) && count.resting() > 0 {
+    if count.is_exhausted(share) && count.idle() > 0 {
         gateway.connections().evict(target);
     }
     if count.has_room(share) {
--- a/crates/gateway/src/connections/pool.rs
+++ b/crates/gateway/src/connections/pool.rs
@@ -1,24 +1,24 @@
-//! Connections that rest between two requests.
+//! Idle connections to targets.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use hawthornpost_core::clock::Instant;
 
-/// The longest time for which a connection rests.
-const MAX_IDLE: Duration = Duration::from_secs(4);
-/// The longest time for which a connection rests if its target does not state an idle timeout. Timeouts are stated in
-/// whole seconds, so one that is missing may be shorter than a second.
-const MAX_UNSTATED_IDLE: Duration = Duration::from_millis(600);
-/// The fraction of a stated idle timeout for which a connection rests, as the target counts from an earlier moment.
+/// The longest time for which an idle connection is kept.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(4);
+/// The longest time for which an idle connection is kept if its target does not state an idle timeout. Timeouts are stated
+/// in whole seconds, so one that is missing may be shorter than a second.
+const MAX_UNSTATED_IDLE_TIME: Duration = Duration::from_millis(600);
+/// The fraction of a stated idle timeout for which a connection is kept, as the target counts from an earlier moment.
 const TIMEOUT_FRACTION: f64 = 0.5;
-/// The fraction of that rest after which a request that may not be repeated does not use the connection any more. A target
-/// that closes it at that moment leaves the outcome unknown.
+/// The fraction of that time in which a request that may not be repeated uses the connection. Later its target may close it
+/// while the request is sent, which leaves the outcome unknown.
 const RECENT_FRACTION: f64 = 0.5;
-/// The maximum number of resting connections of a process, for its descriptors and its memory.
-const MAX_RESTING: usize = 128;
+/// The maximum number of idle connections of a process, which bounds its descriptors and its memory.
+const MAX_IDLE_CONNECTIONS: usize = 128;
 
-/// Which resting connections a request may use.
+/// Which idle connections a request may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reuse {
     /// Any: the request is sent again if the connection fails.
@@ -27,15 +27,15 @@
     Recent,
 }
 
-/// The resting connections by target.
+/// The idle connections by target.
 #[derive(Debug)]
 pub struct Pool<C> {
-    targets: BTreeMap<String, Vec<Resting<C>>>,
+    targets: BTreeMap<String, Vec<Idle<C>>>,
     len: usize,
 }
 
 #[derive(Debug)]
-struct Resting<C> {
+struct Idle<C> {
     connection: C,
     recent_until: Instant,
     until: Instant,
@@ -62,59 +62,59 @@
 
     /// Keeps a connection to a target that states this idle timeout. Closes it if there are too many.
     pub fn put(&mut self, now: Instant, target: &str, connection: C, timeout: Option<Duration>) {
-        let idle = timeout.map_or(MAX_UNSTATED_IDLE, |timeout| {
-            timeout.mul_f64(TIMEOUT_FRACTION).min(MAX_IDLE)
+        let kept_for = timeout.map_or(MAX_UNSTATED_IDLE_TIME, |timeout| {
+            timeout.mul_f64(TIMEOUT_FRACTION).min(MAX_IDLE_TIME)
         });
-        if idle.is_zero() || self.len >= MAX_RESTING {
+        if kept_for.is_zero() || self.len >= MAX_IDLE_CONNECTIONS {
             return;
         }
-        let resting = Resting {
+        let idle = Idle {
             connection,
-            recent_until: now + idle.mul_f64(RECENT_FRACTION),
-            until: now + idle,
+            recent_until: now + kept_for.mul_f64(RECENT_FRACTION),
+            until: now + kept_for,
         };
-        self.targets.entry(target.to_owned()).or_default().push(resting);
+        self.targets.entry(target.to_owned()).or_default().push(idle);
         self.len += 1;
     }
 
     /// Takes the connection that was used last, and closes those that are not usable.
     pub fn take(&mut self, now: Instant, target: &str, reuse: Reuse, is_usable: impl Fn(&C) -> bool) -> Option<C> {
-        let resting = self.targets.get_mut(target)?;
-        let before = resting.len();
-        resting.retain(|resting| now < resting.until && is_usable(&resting.connection));
-        let taken = resting.pop_if(|resting| reuse == Reuse::Any || now < resting.recent_until);
-        self.len -= before - resting.len();
-        if resting.is_empty() {
+        let idle = self.targets.get_mut(target)?;
+        let before = idle.len();
+        idle.retain(|idle| now < idle.until && is_usable(&idle.connection));
+        let taken = idle.pop_if(|idle| reuse == Reuse::Any || now < idle.recent_until);
+        self.len -= before - idle.len();
+        if idle.is_empty() {
             self.targets.remove(target);
         }
-        taken.map(|resting| resting.connection)
+        taken.map(|idle| idle.connection)
     }
 
     /// Closes the connection to a target that was not used for the longest time.
     pub fn evict(&mut self, target: &str) {
-        let Some(resting) = self.targets.get_mut(target) else {
+        let Some(idle) = self.targets.get_mut(target) else {
             return;
         };
-        resting.remove(0);
+        idle.remove(0);
         self.len -= 1;
-        if resting.is_empty() {
+        if idle.is_empty() {
             self.targets.remove(target);
         }
     }
 
-    /// Closes the connections that have rested too long and those that are not worth keeping.
-    pub fn retain(&mut self, now: Instant, is_worth: impl Fn(&C) -> bool) {
-        self.targets.retain(|_, resting| {
-            resting.retain(|resting| now < resting.until && is_worth(&resting.connection));
-            !resting.is_empty()
+    /// Closes the connections that have been idle for too long and those that are not worth keeping.
+    pub fn retain(&mut self, now: Instant, is_worth_keeping: impl Fn(&C) -> bool) {
+        self.targets.retain(|_, idle| {
+            idle.retain(|idle| now < idle.until && is_worth_keeping(&idle.connection));
+            !idle.is_empty()
         });
         self.len = self.targets.values().map(Vec::len).sum();
     }
 
     /// Closes all connections to a target.
     pub fn remove(&mut self, target: &str) {
-        let resting = self.targets.remove(target);
-        self.len -= resting.map_or(0, |resting| resting.len());
+        let idle = self.targets.remove(target);
+        self.len -= idle.map_or(0, |idle| idle.len());
     }
 
     /// Closes all connections.
--- a/crates/gateway/src/connections/shared.rs
+++ b/crates/gateway/src/connections/shared.rs
@@ -13,18 +13,18 @@
 use super::lease::Link;
 use super::{Pool, Reuse, Share};
 
-/// The interval at which connections that have rested too long are closed.
+/// The interval at which connections that have been idle for too long are closed.
 const CLOSE_INTERVAL: Duration = Duration::from_millis(300);
 /// The minimum interval at which the number of hosts is read.
 const SHARE_INTERVAL: Duration = Duration::from_millis(100);
 
-/// The resting connections, and this host's share of the connections that targets accept.
+/// The idle connections, and this host's share of the connections that targets accept.
 #[derive(Debug, Default)]
 pub(crate) struct Shared {
     pool: RefCell<Pool<Link>>,
     share: Cell<Share>,
     observed_at: Cell<Option<Instant>>,
-    /// The end of the last pause of the process, after which no connection that rested was used again.
+    /// The end of the last pause of the process, after which no connection that was idle meanwhile is used again.
     handled_pause: Cell<Option<Instant>>,
     is_closing: Cell<bool>,
 }
@@ -48,12 +48,12 @@
         self.share.get().of(max_connections)
     }
 
-    /// Returns the number of resting connections.
-    pub(crate) fn resting(&self) -> usize {
+    /// Returns the number of idle connections.
+    pub(crate) fn idle(&self) -> usize {
         self.pool.borrow().len()
     }
 
-    /// Takes a resting connection to a target. One to a suspect target may be broken without notice: only a new one tells
+    /// Takes an idle connection to a target. One to a suspect target may be broken without notice: only a new one tells
     /// that a request did not run. After a pause of the process there is none, as targets may have closed
     /// them meanwhile.
     pub(super) fn take(&self, gateway: &Gateway, target: &Target, reuse: Reuse) -> Option<Link> {
@@ -73,12 +73,12 @@
         pool.take(gateway.now(), &target.id, reuse, |link| link.is_usable_for(target))
     }
 
-    /// Closes a resting connection to a target.
+    /// Closes an idle connection to a target.
     pub(super) fn evict(&self, target: &Target) {
         self.pool.borrow_mut().evict(&target.id);
     }
 
-    /// Closes the resting connections to a target that failed.
+    /// Closes the idle connections to a target that failed.
     pub(crate) fn remove(&self, target: &str) {
         self.pool.borrow_mut().remove(target);
     }
@@ -93,7 +93,7 @@
         }
     }
 
-    /// Closes connections that have rested too long, exceed the share or whose target is gone, until none is left.
+    /// Closes connections that have been idle for too long, exceed the share or whose target is gone, until none is left.
     async fn close_idle(&self, gateway: &Gateway) {
         while !self.pool.borrow().is_empty() {
             gateway.timer().sleep(CLOSE_INTERVAL).await;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -303,7 +303,7 @@
         Ok((head, share.hold(body)))
     }
 
-    /// Returns which resting connections the request may use.
+    /// Returns which idle connections the request may use.
     fn reuse(&self) -> Reuse {
         match self.job.route.kind {
             Kind::Idempotent => Reuse::Any,
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -16,7 +16,7 @@
 const MAX_REPORT_AGE: Duration = Duration::from_millis(600);
 /// The share of an engine's memory above which other engines are preferred.
 const MEMORY_HIGH_WATERMARK: f64 = 0.85;
-/// What a resting connection saves of the cost of a call, as a multiple of a target's slots: less than the random addition
+/// What an idle connection saves of the cost of a call, as a multiple of a target's slots: less than the random addition
 /// to the cost, so that all targets of the same load get calls and their state stays known.
 const CONNECTION_GAIN: f64 = 0.015;
 /// The cost of a target whose calls all fail, as a multiple of its slots.
@@ -59,7 +59,7 @@
     pub(crate) fn call_cost(&self, now: Instant) -> f64 {
         let slots = f64::from(self.target.slots.max(1));
         let calls = f64::from(self.own_load.calls) + self.peer_calls(now);
-        let gain = if self.connections.resting() > 0 {
+        let gain = if self.connections.idle() > 0 {
             CONNECTION_GAIN
         } else {
             0.0
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -23,8 +23,8 @@
 pub const ENGINE_CRASHES: &str = "hawthornpost_gateway_engine_crashes_total";
 /// Connections to targets for requests, by whether they were opened, used again or refused for lack of room.
 pub const CONNECTIONS: &str = "hawthornpost_gateway_target_connections_total";
-/// Connections to targets that rest between two requests.
-pub const RESTING: &str = "hawthornpost_gateway_resting_connections";
+/// Idle connections to targets.
+pub const IDLE_CONNECTIONS: &str = "hawthornpost_gateway_resting_connections";
 /// Refused requests by status.
 pub const REFUSED: &str = "hawthornpost_gateway_refused_total";
 /// Requests refused because their service is overloaded, by service, priority and reason.
@@ -89,7 +89,10 @@
         CONNECTIONS,
         "connections to targets for requests, by whether they were opened, reused or refused within this host's share",
     ),
-    (RESTING, "connections to targets that rest between two requests"),
+    (
+        IDLE_CONNECTIONS,
+        "idle connections to targets, kept for further requests",
+    ),
     (REFUSED, "refused requests by status"),
     (
         SHED,
@@ -318,7 +321,7 @@
     metrics::gauge!(TARGETS_REVISION).set(gateway.fleet_revision() as f64);
     metrics::gauge!(TARGETS).set(gateway.fleet().borrow().targets().count() as f64);
     metrics::gauge!(HOSTS).set(gateway.peers().live_hosts() as f64);
-    metrics::gauge!(RESTING).set(gateway.connections().resting() as f64);
+    metrics::gauge!(IDLE_CONNECTIONS).set(gateway.connections().idle() as f64);
     metrics::gauge!(OPEN).set(gateway.open_requests() as f64);
     metrics::gauge!(READY).set(f64::from(u8::from(gateway.is_ready())));
     for (service, level) in gateway.overload().borrow_mut().levels(gateway.now()) {
--- a/crates/gateway/tests/connections.rs
+++ b/crates/gateway/tests/connections.rs
@@ -20,7 +20,7 @@
 
 /// Guards against an action on a connection that its target may have dropped: its outcome would be unknown.
 #[test]
-fn only_requests_that_may_be_repeated_use_a_connection_that_rested_for_long() {
+fn only_requests_that_may_be_repeated_use_a_connection_that_was_idle_for_long() {
     let mut pool = Pool::new();
     pool.put(NOW, "a", 1, TIMEOUT);
     assert_eq!(pool.take(after(3000), "a", Reuse::Recent, |_| true), None);
@@ -42,7 +42,7 @@
     assert!(pool.is_empty());
 }
 
-/// Guards against requests on a connection that ended, or received bytes, while it rested, and against an older one that
+/// Guards against requests on a connection that ended, or received bytes, while it was idle, and against an older one that
 /// is used although a newer one is sound.
 #[test]
 fn the_newest_usable_connection_is_taken() {
@@ -58,7 +58,7 @@
 
 /// Many targets, each used now and then. Guards against connections without bound on a small host.
 #[test]
-fn resting_connections_are_bounded() {
+fn idle_connections_are_bounded() {
     let mut pool = Pool::new();
     for target in 0..5000 {
         pool.put(NOW, &target.to_string(), target, TIMEOUT);
@@ -104,7 +104,7 @@
     assert_eq!(share.of(100), expected.of(100));
 }
 
-/// More hosts than connections. Guards against hosts that reach a target never, and against resting connections there.
+/// More hosts than connections. Guards against hosts that reach a target never, and against idle connections there.
 #[test]
 fn a_host_without_a_share_uses_one_connection() {
     let mut share = Share::new();
@@ -121,28 +121,28 @@
 fn slots_count_until_they_are_dropped() {
     let count = Rc::new(Count::default());
     let mut slot = Slot::new(&count);
-    slot.set_resting(true);
-    assert_eq!((count.used(), count.resting()), (0, 1));
+    slot.set_idle(true);
+    assert_eq!((count.used(), count.idle()), (0, 1));
     assert!(count.has_room(Some(1)) && count.is_exhausted(Some(1)));
-    slot.set_resting(false);
-    assert_eq!((count.used(), count.resting()), (1, 0));
+    slot.set_idle(false);
+    assert_eq!((count.used(), count.idle()), (1, 0));
     drop(slot);
-    assert_eq!((count.used(), count.resting()), (0, 0));
+    assert_eq!((count.used(), count.idle()), (0, 0));
 }
 
-/// More hosts appear while all connections rest. Guards against connections that the hosts before them keep beyond their
+/// More hosts appear while all connections are idle. Guards against connections that the hosts before them keep beyond their
 /// smaller shares, for which the target resets those of the new hosts.
 #[test]
 fn connections_beyond_a_share_that_shrinks_are_closed() {
     let count = Rc::new(Count::default());
     let mut slots = [(); 7].map(|()| Slot::new(&count)).into_iter().collect::<Vec<_>>();
     for slot in &mut slots {
-        slot.set_resting(true);
+        slot.set_idle(true);
     }
     slots.retain(|slot| !slot.exceeds(Some(7)));
     assert_eq!(slots.len(), 7);
     slots.retain(|slot| !slot.exceeds(Some(3)));
-    assert_eq!((slots.len(), count.resting()), (3, 3));
+    assert_eq!((slots.len(), count.idle()), (3, 3));
     slots.retain(|slot| !slot.exceeds(Some(0)));
     assert_eq!(slots.len(), 1);
     assert!(!slots[0].exceeds(None));
