--- a/crates/core/src/duty.rs
+++ b/crates/core/src/duty.rs
@@ -21,7 +21,8 @@
 /// Time limits of the lease and of calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
-    /// The duration of the lease after each renewal. Holders that take turns within this time break a rule of the platform.
+    /// The duration of the lease after each renewal. The platform forbids
+    /// that two hosts act in turn within this time.
     pub term: Duration,
     /// The time after which a call is abandoned, so that it cannot arrive later.
     pub call_timeout: Duration,
@@ -66,11 +67,11 @@
 pub enum Event {
     /// Whether the host should hold the lease; repeats have no effect.
     Eligibility(Eligibility),
-    /// The lease object was read; `None` when it does not exist.
+    /// A read of the lease object ended: its version and contents, or `None` when it does not exist.
     Read(Result<Option<(Version, Lease)>, Failure>),
-    /// The lease object was written.
+    /// A write of the lease object ended: its new version or the failure.
     Written(Result<Version, Failure>),
-    /// A call ended: whether the platform answered it.
+    /// A call to the platform ended; `true` if the platform answered it.
     CallEnded(bool),
     /// The clock jumped or the process was paused.
     ClockJumped,
--- a/crates/core/src/duty_calls.rs
+++ b/crates/core/src/duty_calls.rs
@@ -1,7 +1,5 @@
 //! The calls that a holder has made.
 
-use std::time::Duration;
-
 use crate::clock::Instant;
 use crate::duty::Limits;
 use crate::lease::lengthen_for_drift;
@@ -18,7 +16,9 @@
     number: Option<Version>,
     /// When the last call can no longer arrive.
     end: Instant,
+    /// The number of calls that have not ended.
     open: u32,
+    /// The number of successive calls without an answer.
     unanswered: u32,
     unanswered_since: Instant,
 }
@@ -64,7 +64,7 @@
         self.unanswered = 0;
     }
 
-    /// Returns whether the platform has answered no call for a term.
+    /// Returns whether the platform has answered none of several calls for a term.
     pub(crate) fn is_unreachable(&self, now: Instant) -> bool {
         self.unanswered >= MIN_UNANSWERED_CALLS && now.since(self.unanswered_since) >= self.limits.term
     }
@@ -80,10 +80,6 @@
         if number.is_some() && number == self.number {
             return Instant::ZERO;
         }
-        self.end + self.return_time()
-    }
-
-    fn return_time(&self) -> Duration {
-        lengthen_for_drift(self.limits.term)
+        self.end + lengthen_for_drift(self.limits.term)
     }
 }
--- a/crates/core/src/duty_identity.rs
+++ b/crates/core/src/duty_identity.rs
@@ -6,7 +6,7 @@
 use crate::lease::{Lease, Observer, Tenure};
 use crate::platform::Version;
 
-/// Names the process in the lease, so that it recognises writes whose answers were lost.
+/// Identifies the process in the lease, so that it recognises its writes whose answers were lost.
 #[derive(Clone, Debug)]
 pub(crate) struct Identity {
     entry: Entry,
@@ -78,7 +78,7 @@
 /// A lease object that this process has written.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Found {
-    /// The version.
+    /// The version of the object.
     pub version: Version,
     /// The fencing number.
     pub number: Version,
--- a/crates/core/src/duty_own.rs
+++ b/crates/core/src/duty_own.rs
@@ -3,7 +3,7 @@
 use crate::duty::Reason;
 use crate::platform::Version;
 
-/// The tenure of this process.
+/// The tenure of this process, with the state of the lease object that it wrote last.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Own {
     /// The fencing number.
--- a/crates/core/src/limit_level.rs
+++ b/crates/core/src/limit_level.rs
@@ -1,6 +1,6 @@
-//! Admission by level: which requests run while a service has less room than its callers ask for.
+//! Admission by level: which requests run while a service has less capacity than its callers ask for.
 //!
-//! Each host keeps a [`Level`] for each service, the part of the offered work that is admitted. It falls while the service
+//! Each host keeps a [`Level`] for each service: the part of the offered work, from 0 to 1, that is admitted. It falls while the service
 //! is overloaded ([`Signal`]) and returns to 1 within [`RECOVERY`]. The hosts tell each other their levels and apply the
 //! median ([`Peers`]), so that an urgent request at one host does not lose to a less urgent one at another.
 //! [`Offered`] ranks the work below the level: by priority, and within a priority by the excess of an account over its
@@ -29,7 +29,7 @@
 
 pub use admission::{Admission, Refusal};
 pub use level::{Level, RECOVERY};
-pub use offered::{LEAST_PART, Offered};
+pub use offered::{MIN_PART, Offered};
 pub use peers::Peers;
 pub use rank::{Demand, Rank};
 pub use signal::Signal;
--- a/crates/core/src/limit_level/admission.rs
+++ b/crates/core/src/limit_level/admission.rs
@@ -5,7 +5,7 @@
 use crate::clock::Instant;
 use crate::limit_level::{Demand, Level, Offered, Peers, Rank, Signal, Throughput};
 
-/// The mean delay at the beginning of an overload, within which a level first falls and rises.
+/// The minimum of the mean delay. A level reacts to the beginning of an overload within this time.
 const MIN_DELAY: Duration = Duration::from_millis(500);
 /// The part of the time until its deadline after which a refused caller returns at the latest, so that it can still be
 /// served.
@@ -99,8 +99,8 @@
         })
     }
 
-    /// Returns the time after which a refused caller may return. The overload is expected to last as long again as it has
-    /// lasted; the delays are spread, so that callers do not return at once.
+    /// Returns the time after which a refused caller may return. The overload is expected to last for as long again as
+    /// it has lasted. `random`, between 0 and 1, spreads the delays, so that callers do not return at the same time.
     pub fn retry_after(&self, now: Instant, time_left: Duration, random: f64) -> Duration {
         let (least, most) = DELAY_SPREAD;
         let spread = (most - least).mul_add(random, least);
--- a/crates/core/src/limit_level/offered.rs
+++ b/crates/core/src/limit_level/offered.rs
@@ -7,7 +7,7 @@
 use crate::limit_level::{Demand, Rank};
 
 /// The part of the work of each priority that is always admitted, so that no kind of request starves.
-pub const LEAST_PART: f64 = 0.05;
+pub const MIN_PART: f64 = 0.05;
 /// The time constant with which offered work is forgotten.
 const MEMORY: Duration = Duration::from_secs(5);
 /// The interval at which forgotten work is removed.
@@ -25,11 +25,13 @@
 /// The work of an account in one priority.
 #[derive(Clone, Copy, Debug, Default)]
 struct Share {
+    /// The offered work, in the unit of [`Demand::work`].
     work: f64,
+    /// The admitted part of that work.
     admitted: f64,
     requests: f64,
     weight: f64,
-    /// The admissions that are due. Refusals add to it, so that an account that was refused goes first when it returns.
+    /// The number of admissions that are due, below 1 between two requests. Refusals add to it, so that an account that was refused goes first when it returns.
     credit: f64,
 }
 
@@ -63,14 +65,14 @@
             .priorities
             .iter()
             .filter(|(priority, _)| **priority > demand.priority);
-        // The least parts of the less urgent work take room too, or more than the level would be admitted.
-        let reserved = LEAST_PART * behind.map(|(_, accounts)| work_of(accounts)).sum::<f64>();
+        // The minimum parts of the less urgent work count too; otherwise more than the level would be admitted.
+        let reserved = MIN_PART * behind.map(|(_, accounts)| work_of(accounts)).sum::<f64>();
         let room = level * total - ahead.sum::<f64>() - reserved;
         let accounts = self.priorities.get(&demand.priority);
         let Some((accounts, share)) = accounts.and_then(|all| Some((all, all.get(demand.account)?))) else {
             return (1.0, rank(demand, 1.0));
         };
-        let least = LEAST_PART * work_of(accounts);
+        let least = MIN_PART * work_of(accounts);
         let fill = fill_level(accounts, room.max(least));
         let part = (fill * share.weight / share.work).min(1.0);
         (part, rank(demand, 1.0 / part))
--- a/crates/core/src/limit_level/peers.rs
+++ b/crates/core/src/limit_level/peers.rs
@@ -8,7 +8,7 @@
 /// The age after which the level of a peer is ignored. A host that has load reports at least every two seconds.
 const MAX_AGE: Duration = Duration::from_millis(2500);
 
-/// The levels of other hosts for one service, as they told them last.
+/// The levels of other hosts for one service, as last reported.
 #[derive(Clone, Debug, Default)]
 pub struct Peers {
     levels: HashMap<String, (Instant, f64)>,
--- a/crates/core/src/limit_level/signal.rs
+++ b/crates/core/src/limit_level/signal.rs
@@ -6,20 +6,21 @@
 const FACTOR_RANGE: (f64, f64) = (0.5, 0.95);
 /// The minimum and the maximum part of the completed work that is admitted while the queue shrinks.
 const DRAIN_RANGE: (f64, f64) = (0.8, 0.95);
-/// The expected time as a part of the objective up to which nearly all requests are in time, as waits differ by target.
+/// The mean expected time, as a part of the objective, up to which nearly all requests are in time although waits differ
+/// by target.
 const MEAN_WAIT_FRACTION: f64 = 0.5;
 /// The multiple of the unloaded time below which a service is slow rather than overloaded.
 const MIN_SLOWDOWN: u32 = 3;
 /// The part of refused attempts above which a service is overloaded: more attempts are refused than run.
 const MAX_REFUSED_PART: f64 = 0.5;
-/// The bounds of the time after which a lower level shows in the signal. Peers learn of each other's work within the
-/// upper bound.
+/// The minimum and the maximum time after which a lower level shows in the signal. Peers learn of each other's work within
+/// the maximum.
 const REACTION_RANGE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(500));
 
 /// What a host knows of the time that a service takes for the next request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Signal {
-    /// The expected time to serve it, at the target that the host would choose.
+    /// The expected time to serve it, waits included.
     pub expected: Duration,
     /// The expected time at an idle target.
     pub unloaded: Duration,
--- a/crates/core/tests/limit_level.rs
+++ b/crates/core/tests/limit_level.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hawthornpost_core::clock::Instant;
-use hawthornpost_core::limit_level::{Admission, Demand, LEAST_PART, Level, Peers, RECOVERY, Signal};
+use hawthornpost_core::limit_level::{Admission, Demand, Level, MIN_PART, Peers, RECOVERY, Signal};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use test_case::test_case;
@@ -88,8 +88,8 @@
 fn a_less_urgent_kind_keeps_its_least_part() {
     // Guards against starvation when urgent requests alone exceed the room.
     let parts = admitted(0.3, &[("crews", 0, 0.6), ("crews", 2, 0.6)]);
-    assert!(parts[1] > LEAST_PART / 2.0, "{parts:?}");
-    assert!(parts[1] < LEAST_PART * 2.0, "{parts:?}");
+    assert!(parts[1] > MIN_PART / 2.0, "{parts:?}");
+    assert!(parts[1] < MIN_PART * 2.0, "{parts:?}");
 }
 
 #[test]
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -92,9 +92,9 @@
 #[serde_as]
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Scaling {
-    /// The minimum.
+    /// The minimum number of targets.
     pub min: u32,
-    /// The maximum.
+    /// The maximum number of targets.
     pub max: u32,
     /// The time from an order to the first request that a new target serves.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
--- a/crates/gateway/src/overload.rs
+++ b/crates/gateway/src/overload.rs
@@ -1,4 +1,4 @@
-//! Overload of services: which requests this host admits, refuses or sends no second time.
+//! Overload of services: which requests this host admits, refuses or does not retry.
 //!
 //! | module | concern |
 //! |--------|---------|
@@ -59,7 +59,7 @@
         }
     }
 
-    /// Returns the level of each service that decides on its requests.
+    /// Returns the services with the level, from 0 to 1, that decides on their requests.
     pub fn levels(&mut self, now: Instant) -> Vec<(&str, f64)> {
         let services = self.services.iter_mut();
         services
--- a/crates/gateway/src/overload/bound.rs
+++ b/crates/gateway/src/overload/bound.rs
@@ -10,13 +10,13 @@
 
 /// How long a route counts after its last request.
 const ROUTE_MEMORY: Duration = Duration::from_secs(5);
-/// The part of the most urgent route's objective that less urgent streams may fill.
+/// The part of the most urgent route's objective that less urgent streams may wait.
 const LESS_URGENT_PART: f64 = 0.5;
 /// The part of the bound that applies to accounts above their fair share while streams are refused.
 const ABOVE_SHARE_PART: f64 = 0.5;
 /// How long after a refusal the service counts as refusing.
 const REFUSING_FOR: Duration = Duration::from_secs(1);
-/// The least mean delay of a refused caller. Peers report their loads within this time.
+/// The minimum mean delay of a refused caller. Peers report their loads within this time.
 const MIN_DELAY: Duration = Duration::from_millis(500);
 /// The maximum refused work as a multiple of the admitted work.
 const MAX_REFUSED_RATIO: f64 = 100.0;
@@ -35,7 +35,8 @@
     pub objective: Duration,
 }
 
-/// Admits streams while their expected time to the first event is within a bound, which needs no feedback.
+/// Admits streams while their expected time to the first event is within a bound. No state is adapted to the outcome, so
+/// admission cannot oscillate.
 #[derive(Debug, Default)]
 pub struct Bound {
     /// The objective of the routes in use by priority, with the time of the last request.
@@ -43,9 +44,9 @@
     offered: Offered,
     /// The first and the last of the recent refusals.
     refusing: Option<(Instant, Instant)>,
-    /// The work that was refused since the first of the recent refusals.
+    /// The work, in tokens, that was refused since the first of the recent refusals.
     refused: f64,
-    /// The work that was admitted since the first of the recent refusals.
+    /// The work, in tokens, that was admitted since the first of the recent refusals.
     admitted: f64,
 }
 
@@ -100,8 +101,9 @@
         self.refusing.is_some_and(|(_, last)| now.since(last) <= REFUSING_FOR)
     }
 
-    /// Returns the time after which a refused caller may return: when the queue has drained to the bound, and the
-    /// callers that were refused before it have been admitted at the rate of the recent admissions. `random`, between 0 and 1, spreads the callers.
+    /// Returns the time after which a refused caller may return: when the queue has drained to the bound, and the callers
+    /// that were refused before it have been admitted at the rate of the recent admissions. `random`, between 0 and 1,
+    /// spreads the callers.
     pub fn retry_after(&self, now: Instant, excess: Duration, time_left: Duration, random: f64) -> Duration {
         let lasted = self.refusing.map_or(Duration::ZERO, |(began, _)| now.since(began));
         let refused_ratio = (self.refused / self.admitted.max(f64::MIN_POSITIVE)).min(MAX_REFUSED_RATIO);
--- a/crates/gateway/src/overload/check.rs
+++ b/crates/gateway/src/overload/check.rs
@@ -15,7 +15,7 @@
 
 /// All accounts have the same weight, as the configuration has none.
 const WEIGHT: u32 = 1;
-/// The number of choices of an engine for an expected time.
+/// The number of engines that are chosen at random to find the expected time of a stream.
 const CHOICES: usize = 2;
 /// The work of a call. Its time is not known before it runs.
 const CALL_WORK: f64 = 1.0;
--- a/crates/gateway/src/overload/waits.rs
+++ b/crates/gateway/src/overload/waits.rs
@@ -54,8 +54,8 @@
         self.refused_part
     }
 
-    /// Returns the expected time of the next call, as the median of the targets: a few slow ones get fewer calls. `None`
-    /// without recent responses.
+    /// Returns the expected time of the next call, as the median of the targets, because a few slow ones get fewer calls;
+    /// `None` without recent responses.
     pub fn forecast(&self, now: Instant) -> Option<Forecast> {
         let fresh = self.targets.values().filter(|(at, _)| now.since(*at) <= MAX_AGE);
         let mut times = fresh.map(|(_, expected)| *expected).collect::<Vec<_>>();
--- a/crates/gateway/src/scaling/capacity.rs
+++ b/crates/gateway/src/scaling/capacity.rs
@@ -8,10 +8,9 @@
 
 /// The weight of the latest sample in the usual size of a prompt.
 const PROMPT_WEIGHT: f64 = 0.1;
-
 /// The weight of the latest sample in the work per request.
 const REQUEST_WEIGHT: f64 = 0.05;
-/// How far the work may exceed what the requests usually cause before the excess counts as repeated after failures.
+/// The work as a multiple of what the requests usually cause, beyond which it counts as repeated after failures.
 const MAX_EXCESS: f64 = 1.25;
 
 /// What one target of a service does, as far as it is learned.
@@ -21,15 +20,15 @@
     usual_prompt: Option<f64>,
     /// The number of targets that a request per second occupies.
     per_request: Option<f64>,
-    /// The number of targets that were occupied before the latest trouble.
-    untroubled: f64,
+    /// The number of targets that were occupied before targets were last in trouble.
+    before_trouble: f64,
 }
 
 impl Capacity {
     /// Learns from a sample and returns the number of targets that its work occupies.
     pub fn occupied(&mut self, sample: &Sample) -> f64 {
         let occupied = self.count(sample);
-        self.untroubled = occupied;
+        self.before_trouble = occupied;
         let requests = sample.total_requests();
         if requests > 0.0 {
             let per_request = self.per_request.get_or_insert(occupied / requests);
@@ -39,15 +38,15 @@
     }
 
     /// Returns the number of targets that the work of a sample occupies, without the work that was begun again after a
-    /// failure. The targets that bear a failure are provided for already. Work that was there before the failure counts
-    /// also while no requests arrive, as long streams do.
-    pub fn asked_for(&mut self, sample: &Sample) -> f64 {
+    /// failure. The targets that a failure takes are included elsewhere. Work from before the failure counts even while
+    /// no requests arrive, because streams may be long.
+    pub fn occupied_without_repeats(&mut self, sample: &Sample) -> f64 {
         let occupied = self.count(sample);
         let usual = self
             .per_request
             .map(|per_request| per_request * sample.total_requests());
         usual.map_or(occupied, |usual| {
-            occupied.min((MAX_EXCESS * usual).max(self.untroubled))
+            occupied.min((MAX_EXCESS * usual).max(self.before_trouble))
         })
     }
 
@@ -65,7 +64,7 @@
         let mut by_memory = tokens.sum::<f64>() / memory.max(1) as f64;
         if sample.has_copies {
             // The streams of a lost data centre go on from copies, in memory that is occupied already.
-            by_memory *= 1.0 - split::borne_loss(sample.data_centres().len());
+            by_memory *= 1.0 - split::tolerated_loss(sample.data_centres().len());
         }
         self.prefilling(sample).max(by_streams).max(by_memory)
     }
--- a/crates/gateway/src/scaling/occupancy.rs
+++ b/crates/gateway/src/scaling/occupancy.rs
@@ -18,7 +18,7 @@
 /// Whether a target takes new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Condition {
-    /// It does.
+    /// It takes new work.
     Ready,
     /// It is suspect, refuses work, or its entry in the store has lapsed.
     Troubled,
--- a/crates/gateway/src/scaling/planner.rs
+++ b/crates/gateway/src/scaling/planner.rs
@@ -20,9 +20,9 @@
 const RECOVERY_TIME: Duration = Duration::from_secs(2);
 /// One order removes at most one in this many targets of a data centre, so that their streams find room elsewhere.
 const STEP_DIVISOR: u32 = 5;
-/// None are added while the shortage is at most one in this many targets, as the demand of each moment varies.
+/// No targets are added while the shortage is at most one in this many targets, as the demand of each moment varies.
 const SHORTAGE_DIVISOR: u32 = 20;
-/// None are removed while the surplus is less than one in this many targets (hysteresis).
+/// No targets are removed while the surplus is less than one in this many targets (hysteresis).
 const SURPLUS_DIVISOR: u32 = 10;
 
 /// Decides on the number of targets of a service, for the holder of the duty.
@@ -75,7 +75,7 @@
             self.troubled_at = Some((now, trouble));
         }
         let occupied = match self.recent_trouble(now) {
-            Some(Hold::Lost | Hold::Troubled) => self.capacity.asked_for(sample),
+            Some(Hold::Lost | Hold::Troubled) => self.capacity.occupied_without_repeats(sample),
             _ => self.capacity.occupied(sample),
         };
         self.demand.record(now, occupied);
--- a/crates/gateway/src/scaling/proposal.rs
+++ b/crates/gateway/src/scaling/proposal.rs
@@ -15,18 +15,18 @@
     pub present: u32,
     /// The demand of the last seconds, in occupied targets of all data centres.
     pub demand: f64,
-    /// The highest demand of the window.
+    /// The highest demand of the window, in the same unit.
     pub peak: f64,
-    /// The demand that is expected when a target that is ordered now has started.
+    /// The demand that is expected when a target that is ordered now has started, in the same unit.
     pub forecast: f64,
 }
 
 /// Why an order is proposed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reason {
-    /// The demand exceeds what the targets bear.
+    /// The demand exceeds the capacity of the targets.
     Demand,
-    /// The trend will exceed it when new targets have started.
+    /// The demand will exceed it when new targets have started, by its trend.
     Trend,
     /// There are more targets than needed.
     Surplus,
--- a/crates/gateway/src/scaling/runner.rs
+++ b/crates/gateway/src/scaling/runner.rs
@@ -62,7 +62,7 @@
         }
     }
 
-    /// Drops what a holder knows. A later term begins with what the store and the peers show then.
+    /// Drops what a holder knows. A later tenure begins with what the store and the peers show then.
     fn forget(&mut self) {
         self.view = None;
         self.planners.clear();
--- a/crates/gateway/src/scaling/split.rs
+++ b/crates/gateway/src/scaling/split.rs
@@ -6,25 +6,25 @@
 
 /// The share of a target's time that work may take, so that requests seldom wait for each other.
 const MAX_UTILISATION: f64 = 0.75;
-/// The share of the targets whose loss is borne when a service runs in one data centre only.
-const BORNE_LOSS: f64 = 0.25;
+/// The share of the targets that a service in a single data centre may lose without overload.
+const TOLERATED_LOSS: f64 = 0.25;
 
-/// Returns the share of the targets whose loss is borne.
-pub(crate) fn borne_loss(data_centres: usize) -> f64 {
+/// Returns the share of the targets that a service in this many data centres may lose without overload.
+pub(crate) fn tolerated_loss(data_centres: usize) -> f64 {
     match data_centres {
-        0 | 1 => BORNE_LOSS,
+        0 | 1 => TOLERATED_LOSS,
         count => 1.0 / count as f64,
     }
 }
 
-/// Returns the number of targets for a demand, such that the loss of the data centre with the most targets is borne.
+/// Returns the number of targets for a demand, such that those left after the loss of the largest data centre suffice.
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
     reason = "the conversion saturates, and demand is not negative"
 )]
 pub fn needed(demand: f64, data_centres: usize) -> u32 {
-    let targets = demand / MAX_UTILISATION / (1.0 - borne_loss(data_centres));
+    let targets = demand / MAX_UTILISATION / (1.0 - tolerated_loss(data_centres));
     targets.ceil() as u32
 }
 
--- a/crates/gateway/src/speed.rs
+++ b/crates/gateway/src/speed.rs
@@ -14,7 +14,7 @@
 const OBSERVATION_RANGE: (f64, f64) = (0.5, 2.0);
 /// The bounds of a service's factors.
 const FACTOR_RANGE: (f64, f64) = (0.25, 8.0);
-/// The bounds of a target's pace. A slow target still gets work, by which a recovery is noticed.
+/// The bounds of a target's pace. With the upper one a slow target still gets work, which shows its recovery.
 const PACE_RANGE: (f64, f64) = (0.5, 4.0);
 
 /// The work that delays the first event of a stream.
--- a/crates/gateway/src/usage/clock.rs
+++ b/crates/gateway/src/usage/clock.rs
@@ -7,11 +7,11 @@
 
 use crate::duration::millis;
 
-/// How long the wall time of a peer counts. Clocks drift by less than a millisecond in it.
+/// How long the wall time of a peer counts. Clocks drift by less than a millisecond within this time.
 const MAX_SAMPLE_AGE: Duration = Duration::from_secs(10);
 /// The maximum number of peers whose wall times are kept.
 const MAX_SAMPLES: usize = 64;
-/// The deviation of the own wall clock up to which it is believed. Synchronised clocks differ by less, and the wall times of
+/// The deviation of the own wall clock from the median, in milliseconds, up to which it is trusted. Synchronised clocks differ by less, and the wall times of
 /// peers are late by as much as their datagrams take.
 const MAX_DEVIATION_MS: u64 = 100;
 /// The number of hosts with which most have to agree before an offset is kept.
--- a/crates/gateway/src/usage/ledger.rs
+++ b/crates/gateway/src/usage/ledger.rs
@@ -15,9 +15,10 @@
 /// The time that the last counts of a window have to arrive, as a fraction of the time within which the report is due. The
 /// rest is for a change of the holder and for repeated calls.
 const SETTLING_FRACTION: f64 = 0.25;
-/// The maximum of that time; totals are sent several times within it.
+/// The maximum of that time. Totals are sent several times within it.
 const MAX_SETTLING_TIME: Duration = Duration::from_secs(5);
 
+/// The reasons for missing windows, in the log.
 const UNDECIDED: &str = "no host could record the window in time; look at the store and at the lease of the duties";
 const UNREPORTED: &str = "the platform accepted no report in time; look at the address of the duties";
 const UNRECORDED: &str =
@@ -167,8 +168,8 @@
         });
     }
 
-    /// Records that a call to the store failed, or that another host wrote the record. The write may take effect nevertheless,
-    /// so the record is read again.
+    /// Records that a call to the store failed, or that another host wrote the record. The write may take effect
+    /// nevertheless, so the record is read again.
     pub fn store_failed(&mut self, now: Instant) {
         self.release();
         self.next_store_call = now + RETRY_DELAY;
--- a/crates/gateway/src/usage/notice.rs
+++ b/crates/gateway/src/usage/notice.rs
@@ -24,7 +24,7 @@
         first: u64,
         /// The number of windows.
         count: u64,
-        /// Why.
+        /// The reason, and where to look.
         reason: &'static str,
     },
     /// Counts of a window arrived after its report.
