--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -59,7 +59,7 @@
 }
 
 impl Outcome {
-    /// The end of an attempt of which nothing was sent.
+    /// Returns the end of an attempt of which nothing was sent.
     fn unsent(reason: String) -> Self {
         Self::NotRun {
             reason,
@@ -98,7 +98,7 @@
     target: String,
     /// Whether the next retry is taken from the budget already.
     is_retry_reserved: Cell<bool>,
-    /// When the latest attempt was sent, unless the target refused it or it is counted.
+    /// When the latest attempt was sent; `None` when its target refused it or its usage is counted.
     sent_at: Cell<Option<Instant>>,
     /// An error response of a target, which is passed on if no attempt succeeds.
     error_response: Option<(Box<Parts>, Bytes)>,
--- a/crates/gateway/src/scaling/runner.rs
+++ b/crates/gateway/src/scaling/runner.rs
@@ -7,6 +7,7 @@
 use hawthornpost_core::clock::Instant;
 
 use crate::config::{Config, Service};
+use crate::duty::Fence;
 use crate::event::Event;
 use crate::gateway::Gateway;
 use crate::metric;
@@ -194,21 +195,26 @@
         let outcome = result
             .err()
             .map_or_else(|| metric::OUTCOME_ACCEPTED.to_owned(), |error| error.to_string());
-        Event::TargetsOrdered {
-            service: &order.service,
-            data_centre: &order.data_centre,
-            targets: order.targets,
-            before: proposal.before,
-            present: proposal.present,
-            reason: proposal.reason.name(),
-            demand: proposal.demand,
-            peak: proposal.peak,
-            forecast: proposal.forecast,
-            fence: fence.number,
-            outcome: &outcome,
-            what: "targets of a service were ordered in a data centre",
-        }
-        .log();
+        log_order(proposal, &fence, &outcome);
         is_accepted
     }
 }
+
+fn log_order(proposal: &Proposal, fence: &Fence, outcome: &str) {
+    let order = &proposal.order;
+    Event::TargetsOrdered {
+        service: &order.service,
+        data_centre: &order.data_centre,
+        targets: order.targets,
+        before: proposal.before,
+        present: proposal.present,
+        reason: proposal.reason.name(),
+        demand: proposal.demand,
+        peak: proposal.peak,
+        forecast: proposal.forecast,
+        fence: fence.number,
+        outcome,
+        what: "targets of a service were ordered in a data centre",
+    }
+    .log();
+}
--- a/crates/gateway/src/stream_attempt.rs
+++ b/crates/gateway/src/stream_attempt.rs
@@ -5,11 +5,11 @@
 
 use bytes::Bytes;
 use hawthornpost_core::clock::Instant;
-use http_body_util::BodyExt;
-use hyper::Response;
+use http_body_util::{BodyExt, Full};
 use hyper::body::{Frame, Incoming};
 use hyper::header::HeaderMap;
 use hyper::http::response::Parts;
+use hyper::{Request, Response};
 
 use crate::backup::Backup;
 use crate::body::Body;
@@ -60,7 +60,7 @@
 }
 
 impl Outcome {
-    /// The end of an attempt of which nothing was sent.
+    /// Returns the end of an attempt of which nothing was sent.
     fn unsent(reason: String) -> Self {
         Self::NotRun {
             reason,
@@ -112,42 +112,13 @@
             Ok(lease) => lease,
             Err(failure) => return Outcome::unsent(failure.to_string()),
         };
-        let dispatch = Dispatch {
-            instance: &target.id,
-            time_left: stream.job.time_left(&stream.gateway),
-            account: stream.job.account.as_ref().map(|account| account.name.as_str()),
-            priority: Some(stream.job.priority()),
-            backup: backup.as_ref().map(|backup| backup.target.address),
-            source: self.backup.as_ref().map(|backup| Source {
-                address: backup.address,
-                id: &backup.id,
-            }),
-            last_event: stream.last_event,
-        };
-        let request = stream.job.request(&stream.gateway, &dispatch);
+        let request = self.request(stream, backup.as_ref());
         let connection = lease.connection_mut();
         connection.set_limits(Limits::stream(event_quota::max_tokens(&stream.job.metadata)));
-        let meter = Rc::clone(connection.meter());
-        let watchdog = Watchdog::for_first_event(stream.gateway.fleet().borrow().prefill_tokens(&target.id));
         let sent = stream.gateway.now();
-        if !stream.output.has_begun() {
-            stream.start_wait(target, trial::Latency::Response);
-        }
-        let response = match self.wait(stream, watchdog, connection.send(request)).await {
-            Ok(Ok(response)) => response,
-            Ok(Err(Failure::Excess { excess, .. })) => return self.cut_off(stream, excess, sent),
-            Ok(Err(failure @ Failure::Unsent { .. })) => return Outcome::unsent(failure.to_string()),
-            Err(_) if !meter.has_sent() => {
-                return Outcome::unsent("the request could not be sent in time".to_owned());
-            }
-            Ok(Err(error)) => {
-                stream.gateway.suspect(target, "the connection failed");
-                return disconnected(stream, error.to_string(), sent);
-            }
-            Err(stall) => {
-                record_stall(&stream.gateway, target, stall);
-                return stalled(stream, stall, sent);
-            }
+        let response = match self.send(stream, connection, request, sent).await {
+            Ok(response) => response,
+            Err(outcome) => return outcome,
         };
         let (head, body) = response.into_parts();
         let is_named = match reply::check(&stream.gateway, target, &id, &head) {
@@ -179,6 +150,57 @@
         self.forward(stream, &mut reservation, response, sent, backup).await
     }
 
+    /// Returns the request, which names the engine that keeps a copy of the run and the copy from which the run is resumed.
+    fn request(&self, stream: &Progress, backup: Option<&Backup>) -> Request<Full<Bytes>> {
+        let dispatch = Dispatch {
+            instance: &self.target.id,
+            time_left: stream.job.time_left(&stream.gateway),
+            account: stream.job.account.as_ref().map(|account| account.name.as_str()),
+            priority: Some(stream.job.priority()),
+            backup: backup.map(|backup| backup.target.address),
+            source: self.backup.as_ref().map(|backup| Source {
+                address: backup.address,
+                id: &backup.id,
+            }),
+            last_event: stream.last_event,
+        };
+        stream.job.request(&stream.gateway, &dispatch)
+    }
+
+    /// Sends the request at `sent` and waits for the head of the response.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the end of the attempt when there is no response.
+    async fn send(
+        &self,
+        stream: &mut Progress,
+        connection: &mut Connection,
+        request: Request<Full<Bytes>>,
+        sent: Instant,
+    ) -> Result<Response<Incoming>, Outcome> {
+        let target = &self.target;
+        let meter = Rc::clone(connection.meter());
+        let watchdog = Watchdog::for_first_event(stream.gateway.fleet().borrow().prefill_tokens(&target.id));
+        if !stream.output.has_begun() {
+            stream.start_wait(target, trial::Latency::Response);
+        }
+        match self.wait(stream, watchdog, connection.send(request)).await {
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(Failure::Excess { excess, .. })) => Err(self.cut_off(stream, excess, sent)),
+            Ok(Err(failure @ Failure::Unsent { .. })) => Err(Outcome::unsent(failure.to_string())),
+            Err(_) if !meter.has_sent() => Err(Outcome::unsent("the request could not be sent in time".to_owned())),
+            Ok(Err(error)) => {
+                stream.gateway.suspect(target, "the connection failed");
+                Err(disconnected(stream, error.to_string(), sent))
+            }
+            Err(stall) => {
+                record_stall(&stream.gateway, target, stall);
+                Err(stalled(stream, stall, sent))
+            }
+        }
+    }
+
     /// Waits for data of the engine. A silent engine is given up only if the stream may be resumed at another one, or
     /// when it has been unreachable for [`MAX_UNREACHABLE`].
     async fn wait<T>(
