--- a/crates/core/tests/limit_level.rs
+++ b/crates/core/tests/limit_level.rs
@@ -1,4 +1,4 @@
-//! Admission by level: loads beyond the room of a service, at one host and at many with late reports.
+//! Admission by level: loads beyond the capacity of a service, at one host and at many with late reports.
 
 use std::time::Duration;
 
@@ -78,7 +78,7 @@
 
 #[test]
 fn an_urgent_kind_is_not_served_worse() {
-    // Guards against urgent requests that lose to less urgent ones at half of the room.
+    // Guards against urgent requests that are refused in favour of less urgent ones at half of the capacity.
     let parts = admitted(0.5, &[("crews", 0, 0.2), ("crews", 2, 0.6)]);
     assert!(parts[0] > 0.99, "{parts:?}");
     assert!((parts[1] - 1.0 / 3.0).abs() < 0.1, "{parts:?}");
@@ -86,7 +86,7 @@
 
 #[test]
 fn a_less_urgent_kind_keeps_its_least_part() {
-    // Guards against starvation when urgent requests alone exceed the room.
+    // Guards against starvation when urgent requests alone exceed the capacity.
     let parts = admitted(0.3, &[("crews", 0, 0.6), ("crews", 2, 0.6)]);
     assert!(parts[1] > MIN_PART / 2.0, "{parts:?}");
     assert!(parts[1] < MIN_PART * 2.0, "{parts:?}");
--- a/crates/gateway/src/duty/isolation.rs
+++ b/crates/gateway/src/duty/isolation.rs
@@ -7,8 +7,8 @@
 
 /// The numbers of live hosts that were seen lately.
 ///
-/// A host that hears from less than half of them is probably cut off, and its data is older than that of the others. After
-/// `memory` it takes the hosts that it does not hear from for gone.
+/// A host that hears from less than half of them is probably cut off, and its data is older than that of the others. Hosts
+/// that were not heard for `memory` no longer count.
 #[derive(Clone, Debug)]
 pub struct Isolation {
     memory: Duration,
--- a/crates/gateway/src/overload/check.rs
+++ b/crates/gateway/src/overload/check.rs
@@ -162,7 +162,7 @@
             excluded: &[],
         };
         let mut fleet = self.fleet().borrow_mut();
-        // The choice is random among several engines: a second one avoids refusals because the first were crowded.
+        // The choice is random among several engines. The better of two avoids a refusal because the first one is busy.
         let forecasts = (0..CHOICES).filter_map(|_| {
             let target = fleet.choose_stream(self.now(), criteria, need)?;
             fleet.stream_forecast(&target.id, need)
--- a/crates/gateway/src/usage/ledger.rs
+++ b/crates/gateway/src/usage/ledger.rs
@@ -22,7 +22,7 @@
 const UNDECIDED: &str = "no host could record the window in time; look at the store and at the lease of the duties";
 const UNREPORTED: &str = "the platform accepted no report in time; look at the address of the duties";
 const UNRECORDED: &str =
-    "the store has no record, and a deleted one may have covered them; after the first start, look at who deleted it";
+    "the store has no record, and a deleted one may have decided them; after the first start, find out who deleted it";
 const UNREADABLE: &str =
     "the record of an earlier holder cannot be decoded and is replaced; run one release on all hosts";
 
--- a/crates/gateway/tests/scaling_model/main.rs
+++ b/crates/gateway/tests/scaling_model/main.rs
@@ -1,4 +1,4 @@
-//! Model of a service under a wave with bursts and losses: the planner against other rules, in virtual time.
+//! Model of a service under periodic demand with bursts and losses: the planner against other rules, in virtual time.
 #![expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
@@ -26,7 +26,7 @@
     .expect("valid bounds")
 }
 
-/// Plays a day with some seeds.
+/// Runs a day with several seeds.
 fn play(day: Day, policy: impl Fn() -> Policy) -> Result {
     let results = (0..SEEDS).map(|seed| Service::new(seed, day, policy()).play());
     results.fold(Result::default(), Result::sum)
--- a/crates/lab/src/overload_level.rs
+++ b/crates/lab/src/overload_level.rs
@@ -1,7 +1,7 @@
-//! Measures admission by level against hosts that admit all calls: goodput of a plain service beyond its room.
+//! Measures admission by level against hosts that admit all calls: goodput of a plain service beyond its capacity.
 //!
-//! The decisions are those of `limit_level` and of the gateway's expected times. Hosts choose among targets by the reports
-//! in responses and hear each other's levels late.
+//! The decisions are those of `limit_level`, with the gateway's expected times. Hosts choose among targets by the reports
+//! in responses and receive each other's levels late.
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
@@ -34,7 +34,7 @@
 const RUN_MS: u64 = 12_000;
 /// Results before this time are discarded, as the hosts have not reacted yet.
 const WARM_UP_MS: u64 = 2_000;
-/// The delay with which hosts hear each other's levels.
+/// The delay with which hosts receive each other's levels.
 const LEVEL_DELAY_MS: u64 = 300;
 const ACCOUNTS: usize = 24;
 const NAMES: [&str; ACCOUNTS] = [
