--- a/crates/core/src/limit_level.rs
+++ b/crates/core/src/limit_level.rs
@@ -1,8 +1,8 @@
 //! Admission by level: which requests run while a service has less capacity than its callers ask for.
 //!
-//! Each host keeps a [`Level`] for each service: the part of the offered work, from 0 to 1, that is admitted. It falls while the service
-//! is overloaded ([`Signal`]) and returns to 1 within [`RECOVERY`]. The hosts tell each other their levels and apply the
-//! median ([`Peers`]), so that an urgent request at one host does not lose to a less urgent one at another.
+//! Each host keeps a [`Level`] for each service: the part of the offered work, from 0 to 1, that is admitted. It falls
+//! while the service is overloaded ([`Signal`]) and returns to 1 within [`RECOVERY`]. The hosts exchange their levels and
+//! apply the median ([`Peers`]), so that no host refuses urgent requests while another one admits less urgent ones.
 //! [`Offered`] ranks the work below the level: by priority, and within a priority by the excess of an account over its
 //! fair share. [`Admission`] combines them for one service.
 //!
--- a/crates/core/src/limit_level/offered.rs
+++ b/crates/core/src/limit_level/offered.rs
@@ -31,7 +31,8 @@
     admitted: f64,
     requests: f64,
     weight: f64,
-    /// The number of admissions that are due, below 1 between two requests. Refusals add to it, so that an account that was refused goes first when it returns.
+    /// The number of admissions that are due, below 1 between two requests. Refusals add to it, so that an account that
+    /// was refused goes first when it returns.
     credit: f64,
 }
 
--- a/crates/gateway/src/gateway/watcher.rs
+++ b/crates/gateway/src/gateway/watcher.rs
@@ -58,7 +58,7 @@
         }
     }
 
-    /// Ends the duty of [`Self::become_deputy`], because this host cannot reach the store either or enough others do.
+    /// Ends the effect of [`Self::become_deputy`], because this host cannot reach the store either or enough others do.
     pub(crate) fn resign_as_deputy(&self) {
         self.deputy_until.set(Instant::ZERO);
     }
--- a/crates/gateway/src/usage/clock.rs
+++ b/crates/gateway/src/usage/clock.rs
@@ -11,8 +11,8 @@
 const MAX_SAMPLE_AGE: Duration = Duration::from_secs(10);
 /// The maximum number of peers whose wall times are kept.
 const MAX_SAMPLES: usize = 64;
-/// The deviation of the own wall clock from the median, in milliseconds, up to which it is trusted. Synchronised clocks differ by less, and the wall times of
-/// peers are late by as much as their datagrams take.
+/// The deviation of the own wall clock from the median, in milliseconds, up to which it is trusted. Synchronised clocks
+/// differ by less, and the wall times of peers are late by as much as their datagrams take.
 const MAX_DEVIATION_MS: u64 = 100;
 /// The number of hosts with which most have to agree before an offset is kept.
 const MIN_HOSTS: usize = 3;
