--- a/crates/gateway/src/peers/watchers.rs
+++ b/crates/gateway/src/peers/watchers.rs
@@ -13,7 +13,8 @@
         self.watchers().iter().any(|member| member.name == self.name)
     }
 
-    /// Returns the other hosts that watch the store, which are the candidates for the duties.
+    /// Returns the other chosen watchers, which are candidates for the duties. Deputies are left out, because a deputy that
+    /// holds the lease asks all hosts for their totals.
     pub(crate) fn duty_candidates(&self) -> Vec<Receiver> {
         let watchers = self.watchers().into_iter();
         let others = watchers.filter(|member| member.name != self.name);
