Ignore duties that this release does not know

Found by reading: a platform that names a further duty in the settings would keep every host from starting. Unknown names are logged (990) and the others are in force; without a known one no lease is taken.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -155,6 +155,8 @@
     988 Info OrdersHeld { reason: &'a str }
     /// The bounds on the number of targets of a service cannot be used.
     989 Warn BoundsInvalid { service: &'a str, error: &'a str }
+    /// The settings name a duty that this release does not know.
+    990 Warn DutyUnknown { name: &'a str }
 }
 
 thread_local! {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -95,6 +95,13 @@
     let Some(settings) = &gateway.settings().duties else {
         return;
     };
+    for name in &settings.unknown_kinds {
+        let what = "the settings name a duty that this release does not know; it is ignored";
+        Event::DutyUnknown { name, what }.log();
+    }
+    if settings.kinds.is_empty() {
+        return;
+    }
     duty::runner::start(gateway, platform, settings);
     for kind in &settings.kinds {
         match kind {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -108,8 +108,10 @@
 pub struct DutySettings {
     /// The address that takes the calls.
     pub address: SocketAddr,
-    /// The duties.
+    /// The duties; without any, no lease is needed.
     pub kinds: BTreeSet<Duty>,
+    /// Names of duties that this release does not know. They are ignored, so that a platform with further duties is served.
+    pub unknown_kinds: Vec<String>,
     /// The maximum rate of calls of all hosts together, per second.
     pub calls_per_second: f64,
     /// The duration of the lease after each renewal.
@@ -271,12 +273,14 @@
 }
 
 fn duties(mut section: Section<'_>) -> Result<DutySettings> {
+    let names = section.list::<String>("kinds", "usage_report or autoscale")?;
+    let (known, unknown) = names
+        .into_iter()
+        .partition::<Vec<_>, _>(|name| name.parse::<Duty>().is_ok());
     let duties = DutySettings {
         address: section.required("address", ADDRESS)?,
-        kinds: section
-            .list("kinds", "usage_report or autoscale")?
-            .into_iter()
-            .collect(),
+        kinds: known.iter().filter_map(|name| name.parse().ok()).collect(),
+        unknown_kinds: unknown,
         calls_per_second: section.default("calls_per_s", "a number such as 50", DEFAULT_DUTY_CALLS_PER_SECOND)?,
         lease: Duration::from_millis(section.default("lease_ms", MILLIS, DEFAULT_LEASE_MS)?),
         window: seconds(&mut section, "report_window_s", 0.0)?,
