--- a/review/standins-2/mod.rs
+++ b/review/standins-2/mod.rs
@@ -264,13 +264,18 @@
 /// Returns a configuration with the routes of the clearing rounds' calls: `/book/` is non_idempotent, `/status/` is
 /// idempotent, both at the service `desk`.
 pub fn config(version: u64, max_header_bytes: u32) -> String {
+    config_with_tenant(version, max_header_bytes, "crews")
+}
+
+/// Returns a configuration like [`config`] whose only account, which holds [`KEY`], has a name.
+pub fn config_with_tenant(version: u64, max_header_bytes: u32, tenant: &str) -> String {
     let route = |name: &str, kind: &str, attempts: u32| {
         format!(
             r#"{{"name":"{name}","host":"{HOST}","path-prefix":"/{name}/","route-kind":"{kind}","timeout-ms":1500,"goal-ms":300,"priority":2,"service":"desk","max-attempts":{attempts},"anonymous":false,"sticky":false,"resumable":false}}"#
         )
     };
     format!(
-        r#"{{"version":{version},"routes":[{},{}],"services":[{{"name":"desk","health-path":"/healthz","max-connections":110}}],"limits":{{"max-header-bytes":{max_header_bytes},"max-body-bytes":4194304,"header-timeout-ms":2000,"idle-timeout-ms":15000}},"tenants":[{{"name":"crews","api-keys":["key-of-crews"]}}]}}"#,
+        r#"{{"version":{version},"routes":[{},{}],"services":[{{"name":"desk","health-path":"/healthz","max-connections":110}}],"limits":{{"max-header-bytes":{max_header_bytes},"max-body-bytes":4194304,"header-timeout-ms":2000,"idle-timeout-ms":15000}},"tenants":[{{"name":"{tenant}","api-keys":["key-of-crews"]}}]}}"#,
         route("book", "non_idempotent", 1),
         route("status", "idempotent", 2),
     )
--- a/review/standins-2/service.rs
+++ b/review/standins-2/service.rs
@@ -19,6 +19,8 @@
     /// The id of the client's attempt.
     pub attempt: String,
     pub server: String,
+    /// The tenant that the request names.
+    pub tenant: Option<String>,
     /// Whether the server ran it to the end and answered.
     pub is_answered: bool,
     /// Whether the server began to run it.
@@ -33,7 +35,12 @@
             (true, false) => "run, not answered",
             (true, true) => "run and answered",
         };
-        format!("request {} reaches server {}: {end}", self.attempt, self.server)
+        format!(
+            "request {} of tenant {} reaches server {}: {end}",
+            self.attempt,
+            self.tenant.as_deref().unwrap_or("(none)"),
+            self.server
+        )
     }
 }
 
@@ -174,6 +181,7 @@
                 at: Instant::now(),
                 attempt: attempt.clone(),
                 server: id.clone(),
+                tenant: header(&request.headers, "x-hawthornpost-tenant").map(str::to_owned),
                 is_answered: false,
                 has_run: false,
             });
