--- a/review/standins-2/mod.rs
+++ b/review/standins-2/mod.rs
@@ -292,7 +292,7 @@
 
 fn is_free(network: [u8; 2]) -> bool {
     let ports = [8740, 8742, 8746, 8749, 7200, 7215, 8000];
-    let lasts = [1, 10, 11, 12, 100, 101, 102, 103, 104, 105, 106, 107, 108];
+    let lasts = [1, 10, 11, 12, 100, 101, 102, 103, 104, 105, 106, 107, 108, 109];
     let addresses = lasts
         .iter()
         .flat_map(|last| ports.iter().map(|port| SocketAddr::new(ip(network, *last), *port)));
--- a/review/standins-2/service.rs
+++ b/review/standins-2/service.rs
@@ -21,19 +21,22 @@
     pub server: String,
     /// The tenant that the request names.
     pub tenant: Option<String>,
-    /// Whether the server ran it to the end and answered.
+    /// Whether the server ran it to a good end and answered.
     pub is_answered: bool,
     /// Whether the server began to run it.
     pub has_run: bool,
+    /// When the server answered with a failure of its own.
+    pub failed_at: Option<Instant>,
 }
 
 impl Arrival {
     /// Returns a line for the record.
     pub fn line(&self) -> String {
-        let end = match (self.has_run, self.is_answered) {
-            (false, _) => "turned away",
-            (true, false) => "run, not answered",
-            (true, true) => "run and answered",
+        let end = match (self.has_run, self.is_answered, self.failed_at) {
+            (false, ..) => "turned away",
+            (true, _, Some(_)) => "run and answered 500",
+            (true, false, None) => "run, not answered",
+            (true, true, None) => "run and answered",
         };
         format!(
             "request {} of tenant {} reaches server {}: {end}",
@@ -78,6 +81,24 @@
     has_ended: Arc<AtomicBool>,
     /// The pause in milliseconds for which the server asks when it refuses requests; 0 while it serves them.
     pause_ms: Arc<AtomicU64>,
+    failures: Share,
+    losses: Share,
+}
+
+/// A share of the requests, in percent, spread evenly over them.
+#[derive(Clone, Debug, Default)]
+struct Share {
+    percent: Arc<AtomicU64>,
+    sum: Arc<AtomicU64>,
+}
+
+impl Share {
+    /// Returns whether the next request belongs to the share.
+    fn takes_next(&self) -> bool {
+        let percent = self.percent.load(Ordering::SeqCst);
+        let before = self.sum.fetch_add(percent, Ordering::SeqCst);
+        before / 100 != (before + percent) / 100
+    }
 }
 
 impl Service {
@@ -91,6 +112,8 @@
             work,
             has_ended: Arc::default(),
             pause_ms: Arc::default(),
+            failures: Share::default(),
+            losses: Share::default(),
         };
         let own = service.clone();
         thread::spawn(move || {
@@ -120,6 +143,16 @@
         );
     }
 
+    /// Makes the server answer this share of its requests with status 500.
+    pub fn set_failures(&self, percent: u64) {
+        self.failures.percent.store(percent, Ordering::SeqCst);
+    }
+
+    /// Makes the server lose the answers of this share of the requests that it has run: it closes their connections.
+    pub fn set_losses(&self, percent: u64) {
+        self.losses.percent.store(percent, Ordering::SeqCst);
+    }
+
     fn serve(&self, stream: TcpStream) {
         let configured = stream.set_nonblocking(false).and_then(|()| stream.set_nodelay(true));
         if configured
@@ -184,6 +217,7 @@
                 tenant: header(&request.headers, "x-hawthornpost-tenant").map(str::to_owned),
                 is_answered: false,
                 has_run: false,
+                failed_at: None,
             });
             arrivals.len() - 1
         };
@@ -194,7 +228,8 @@
         }
         self.arrivals.lock().expect("no thread panics with the arrivals")[index].has_run = true;
         thread::sleep(self.work);
-        if self.has_ended.load(Ordering::SeqCst) {
+        let has_failed = self.failures.takes_next();
+        if self.has_ended.load(Ordering::SeqCst) || self.losses.takes_next() {
             return Err(std::io::ErrorKind::BrokenPipe.into());
         }
         let stamp = format!("stamp-of-{id}");
@@ -205,8 +240,11 @@
             ("keep-alive", "timeout=5"),
         ];
         let body = [b"done: ", &request.body[..]].concat();
-        http::write_response(writer, 200, &headers, &body)?;
-        self.arrivals.lock().expect("no thread panics with the arrivals")[index].is_answered = true;
+        let status = if has_failed { 500 } else { 200 };
+        http::write_response(writer, status, &headers, &body)?;
+        let arrival = &mut self.arrivals.lock().expect("no thread panics with the arrivals")[index];
+        arrival.is_answered = !has_failed;
+        arrival.failed_at = has_failed.then(Instant::now);
         Ok(())
     }
 }
