--- a/review/standins-2/mod.rs
+++ b/review/standins-2/mod.rs
@@ -31,6 +31,11 @@
 /// The ids of the processes that this script started and that have not ended.
 static PROCESSES: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
+/// The signals that the scripts send, with their numbers on Linux.
+const SIGKILL: i32 = 9;
+const SIGCONT: i32 = 18;
+const SIGSTOP: i32 = 19;
+
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
 }
@@ -63,7 +68,7 @@
 fn end_processes() {
     let processes = PROCESSES.lock().map(|list| list.clone()).unwrap_or_default();
     for id in processes {
-        send_signal(id, 9);
+        send_signal(id, SIGKILL);
     }
 }
 
@@ -213,6 +218,21 @@
         }
     }
 
+    /// Freezes a gateway.
+    pub fn freeze_gateway(&self, index: usize) {
+        self.signal_gateway(index, SIGSTOP);
+    }
+
+    /// Lets a frozen gateway go on.
+    pub fn wake_gateway(&self, index: usize) {
+        self.signal_gateway(index, SIGCONT);
+    }
+
+    fn signal_gateway(&self, index: usize, signal: i32) {
+        let child = self.gateways[index].as_ref().expect("the gateway runs");
+        send_signal(child.id(), signal);
+    }
+
     /// Returns whether the platform's readiness check of a gateway succeeds.
     pub fn is_ready(&self, index: usize) -> bool {
         let address = self.gateway_address(index, 8749);
@@ -292,9 +312,7 @@
 
 fn is_free(network: [u8; 2]) -> bool {
     let ports = [8740, 8742, 8746, 8749, 7200, 7215, 8000];
-    let lasts = [1, 10, 11, 12, 100, 101, 102, 103, 104, 105, 106, 107, 108, 109];
-    let addresses = lasts
-        .iter()
-        .flat_map(|last| ports.iter().map(|port| SocketAddr::new(ip(network, *last), *port)));
-    addresses.into_iter().all(|address| TcpListener::bind(address).is_ok())
+    let lasts = (10..=17).chain(100..=112).chain([1]);
+    let mut addresses = lasts.flat_map(|last| ports.map(|port| SocketAddr::new(ip(network, last), port)));
+    addresses.all(|address| TcpListener::bind(address).is_ok())
 }
